--- a/cmd/standin/chaos_test.go
+++ b/cmd/standin/chaos_test.go
@@ -137,21 +137,21 @@
 	switch n := rnd.IntN(9); n {
 	case 0:
 		t.Logf("kill agent %s", bells)
-		f.byName[bells].kill()
+		f.proc(bells).kill()
 		must(t, f.startAgent(f.instance(bells)))
 	case 1:
 		t.Logf("kill target %s", bells)
-		f.byName["target-"+bells].kill()
+		f.proc("target-" + bells).kill()
 		must(t, f.startTarget(bells, orderTime))
 	case 2:
 		t.Logf("kill %s", entry)
-		f.byName[entry].kill()
+		f.proc(entry).kill()
 		must(t, f.startEntry(f.instance(entry)))
 	case 3:
 		t.Logf("freeze agent %s", bells)
-		f.byName[bells].signal(syscall.SIGSTOP)
+		f.proc(bells).signal(syscall.SIGSTOP)
 		time.Sleep(freeze)
-		f.byName[bells].signal(syscall.SIGCONT)
+		f.proc(bells).signal(syscall.SIGCONT)
 	case 4:
 		t.Log("platform down")
 		must(t, f.post("http://"+f.platform+"/faults", platformFaults{Down: true}))
--- a/cmd/standin/fleet.go
+++ b/cmd/standin/fleet.go
@@ -15,6 +15,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"bluebellcrank/internal/protocol/peer"
 	"bluebellcrank/internal/state/target"
 )
 
@@ -66,6 +67,7 @@
 	seen      map[string]target.Instance
 	targets   map[string]string
 	client    *fasthttp.Client
+	pool      *peer.Pool
 	agentTwin string
 	entryTwin string
 	viaRelay  bool
@@ -76,6 +78,7 @@
 	f := &fleet{
 		dir: dir, binary: binary, standin: standin,
 		byName: map[string]*proc{}, targets: map[string]string{}, controls: map[string]string{}, seen: map[string]target.Instance{},
+		pool:   peer.NewPool(2 * time.Second),
 		client: &fasthttp.Client{MaxIdemponentCallAttempts: 1, ReadTimeout: time.Minute},
 	}
 	f.platform = freeAddress()
@@ -145,11 +148,20 @@
 		_ = out.Close()
 		close(p.done)
 	}()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.procs = append(f.procs, p)
 	f.byName[name] = p
 	return nil
 }
 
+// proc returns the process that runs under a name now.
+func (f *fleet) proc(name string) *proc {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.byName[name]
+}
+
 // addTarget starts a target and its agent; extra goes to the target.
 func (f *fleet) addTarget(id, service, centre string, extra ...string) error {
 	f.targets[id] = freeAddress()
--- a/cmd/standin/path_test.go
+++ b/cmd/standin/path_test.go
@@ -101,11 +101,7 @@
 
 // wholeStream is what a caller must get of an engine.
 func wholeStream(token string, n int) string {
-	var b strings.Builder
-	for i := range n {
-		b.WriteString(chunk(token, i))
-	}
-	return b.String() + lastChunk
+	return wholeAnswer(token, n)
 }
 
 func TestWholePath(t *testing.T) {
--- a/cmd/standin/target.go
+++ b/cmd/standin/target.go
@@ -33,6 +33,7 @@
 	Cold    bool   `json:"cold"`
 	Leaving bool   `json:"leaving"`
 	HangMs  int    `json:"hang-ms"`
+	Burst   int    `json:"burst"`
 }
 
 // run is one line of the run log: the truth about what ran.
@@ -149,6 +150,15 @@
 	return fmt.Sprintf("data: {\"token\":%q,\"n\":%d}\n\n", token, n)
 }
 
+// wholeAnswer is the whole stream of an engine.
+func wholeAnswer(token string, n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(chunk(token, i))
+	}
+	return b.String() + lastChunk
+}
+
 const lastChunk = "data: [DONE]\n\n"
 
 // plainAnswer is the whole answer of a plain service.
@@ -170,28 +180,30 @@
 		text := plainAnswer(token)
 		ctx.SetBodyString(text)
 		if f.CutAt > 0 && f.CutAt < len(text) {
-			ctx.HijackSetNoResponse(true)
-			ctx.Hijack(cutConn(text, f.CutAt))
+			cutPlain(ctx, id, text, f.CutAt)
 		}
 		return
 	}
+	if f.CutAt > 0 {
+		defer t.end()
+		cutStream(ctx, id, wholeAnswer(token, n)[:f.CutAt])
+		return
+	}
 	ctx.SetContentType("text/event-stream")
 	ctx.Response.ImmediateHeaderFlush = true
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 		defer t.end()
-		t.stream(w, token, n, f.CutAt)
+		t.stream(w, token, n, f)
 	})
 }
 
-func (t *fakeTarget) stream(w *bufio.Writer, token string, n, cutAt int) {
-	sent := 0
+// stream writes n tokens, burst of them at a time.
+func (t *fakeTarget) stream(w *bufio.Writer, token string, n int, f targetFaults) {
 	for i := range n {
-		time.Sleep(t.cmd.Token)
-		c := chunk(token, i)
-		sent += len(c)
-		if cutAt > 0 && sent > cutAt {
-			panic("cut") // the server library ends the connection without a last chunk
+		if i%max(f.Burst, 1) == 0 {
+			time.Sleep(t.cmd.Token)
 		}
+		c := chunk(token, i)
 		if _, err := w.WriteString(c); err != nil || w.Flush() != nil {
 			return
 		}
--- a/cmd/standin/target_test.go
+++ b/cmd/standin/target_test.go
@@ -129,14 +129,14 @@
 	}
 	p := press(f, 48, "GET", "/bells/tower", both)
 	warm("bells-1")
-	f.byName["target-bells-1"].kill()
+	f.proc("target-bells-1").kill()
 	must(t, f.startTarget("bells-1", fragile...))
 	warm("bells-2")
-	f.byName["bells-2"].kill()
+	f.proc("bells-2").kill()
 	must(t, f.startAgent(f.instance("bells-2")))
 	warm("bells-2")
 	for _, id := range []string{"bells-1", "bells-3"} {
-		f.byName["target-"+id].kill()
+		f.proc("target-" + id).kill()
 	}
 	for _, id := range []string{"bells-1", "bells-3"} {
 		must(t, f.startTarget(id, fragile...))
@@ -198,14 +198,14 @@
 			must(t, f.post("http://"+f.platform+"/faults", platformFaults{Down: true}))
 		}},
 		{"agent paused since before, woken after", func(_ *testing.T, f *fleet) {
-			f.byName["bells-2"].signal(syscall.SIGSTOP)
+			f.proc("bells-2").signal(syscall.SIGSTOP)
 		}, func(_ *testing.T, f *fleet) {
 			time.Sleep(serviceBound + 500*time.Millisecond)
-			f.byName["bells-2"].signal(syscall.SIGCONT)
+			f.proc("bells-2").signal(syscall.SIGCONT)
 		}},
 		{"entry and watchers killed", nil, func(t *testing.T, f *fleet) {
 			for _, id := range []string{"entry-2", "bells-2"} {
-				f.byName[id].kill()
+				f.proc(id).kill()
 			}
 			must(t, f.startAgent(f.instance("bells-2")), f.startEntry(f.instance("entry-2")))
 		}},
@@ -246,7 +246,7 @@
 	f.agentTwin = "blocked"
 	twoCentres(t, f, 1, withKey(coldConfig))
 	// An entry that cannot hear goes on sending to the west.
-	f.byName["entry-2"].kill()
+	f.proc("entry-2").kill()
 	accepted := takeOut(t, f)
 	c := qt.New(t)
 	time.Sleep(serviceBound)
@@ -261,7 +261,7 @@
 		name  string
 		leave func(t *testing.T, f *fleet)
 	}{
-		{"by signal", func(_ *testing.T, f *fleet) { f.byName["bells-2"].signal(syscall.SIGTERM) }},
+		{"by signal", func(_ *testing.T, f *fleet) { f.proc("bells-2").signal(syscall.SIGTERM) }},
 		{"by the target itself", func(t *testing.T, f *fleet) {
 			must(t, f.post("http://"+f.targets["bells-2"]+"/faults", targetFaults{Leaving: true}))
 		}},
--- /dev/null
+++ b/internal/coordination/forecast/forecast_test.go
@@ -0,0 +1,120 @@
+package forecast
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+
+	"bluebellcrank/internal/coordination/route"
+)
+
+// usable are the candidates that have a report, and were not tried.
+func usable(s *route.Set, tried []*route.Candidate) []*route.Candidate {
+	return lo.Filter(s.Candidates(), func(c *route.Candidate, _ int) bool {
+		r, _, found := c.Last()
+		return found && r.Limit > 0 && !lo.Contains(tried, c)
+	})
+}
+
+func anyOf(s *route.Set, _ route.Request, tried []*route.Candidate, random *rand.Rand) *route.Candidate {
+	list := usable(s, tried)
+	if len(list) == 0 {
+		return nil
+	}
+	return list[random.IntN(len(list))]
+}
+
+func leastOutstanding(s *route.Set, _ route.Request, tried []*route.Candidate, random *rand.Rand) *route.Candidate {
+	list := usable(s, tried)
+	random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return lo.MinBy(list, func(a, b *route.Candidate) bool { return a.Sent() < b.Sent() })
+}
+
+func powerOfTwo(s *route.Set, _ route.Request, tried []*route.Candidate, random *rand.Rand) *route.Candidate {
+	list := usable(s, tried)
+	if len(list) == 0 {
+		return nil
+	}
+	a, b := list[random.IntN(len(list))], list[random.IntN(len(list))]
+	if a.Sent() <= b.Sent() {
+		return a
+	}
+	return b
+}
+
+func pureAffinity(s *route.Set, r route.Request, tried []*route.Candidate, _ *rand.Rand) *route.Candidate {
+	return lo.MaxBy(usable(s, tried), func(a, b *route.Candidate) bool {
+		return route.Hash(a.Instance().ID, r.Affinity()) > route.Hash(b.Instance().ID, r.Affinity())
+	})
+}
+
+func row(t *testing.T, name string, value float64, unit, bound string, met bool) {
+	t.Helper()
+	verdict := "met"
+	if !met {
+		verdict = "MISSED"
+	}
+	if bound == "" {
+		bound, verdict = "-", "-"
+	}
+	t.Logf("row | %s | %.4g | %s | %s | %s |", name, value, unit, bound, verdict)
+	if bound != "-" && !met {
+		t.Errorf("%s is %.4g %s, bound %s", name, value, unit, bound)
+	}
+}
+
+// capacity is what warm targets bear: the answers a second under three times
+// the load, without trouble.
+func capacity(p Plan) float64 {
+	o := Play(p.WithRate(3 * 80))
+	return o.Goodput(p.duration/4, p.duration)
+}
+
+func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+func TestMeasureChoice(t *testing.T) {
+	var p Plan
+	p.Defaults()
+	bears := capacity(p)
+	row(t, "choice: warm targets bear", bears, "answers/s", "", true)
+	p = p.WithRate(0.8*bears).WithTrouble(0.5, true)
+	bestP99 := time.Hour
+	pure := 0.0
+	for _, b := range []struct {
+		name   string
+		policy Policy
+	}{{"random", anyOf}, {"least outstanding", leastOutstanding}, {"power of two", powerOfTwo}, {"pure affinity", pureAffinity}, {"ours", Ours}} {
+		o := Play(p.WithPolicy(b.policy))
+		ours := b.name == "ours"
+		bound := func(s string) string { return lo.Ternary(ours, s, "") }
+		name := "choice at 80%: " + b.name + " "
+		row(t, name+"first token p50", ms(o.First(0.50)), "ms", "", true)
+		row(t, name+"first token p95", ms(o.First(0.95)), "ms", bound("<= 400"), o.First(0.95) <= 400*time.Millisecond)
+		row(t, name+"first token p99", ms(o.First(0.99)), "ms", bound("<= best baseline's"), o.First(0.99) <= bestP99)
+		row(t, name+"between tokens p95", ms(o.Between(0.95)), "ms", bound("<= 71"), o.Between(0.95) <= 71*time.Millisecond)
+		row(t, name+"hit rate", o.HitRate(), "ratio", bound(">= 0.9 of pure affinity's"), o.HitRate() >= 0.9*pure)
+		row(t, name+"refused", float64(o.Refused())/float64(o.Requests()), "ratio", "", true)
+		row(t, name+"most over mean", o.MostOverMean(), "ratio", "", true)
+		if b.name == "pure affinity" {
+			pure = o.HitRate()
+			continue
+		}
+		bestP99 = min(bestP99, o.First(0.99))
+	}
+}
+
+func TestMeasureOverload(t *testing.T) {
+	var p Plan
+	p.Defaults()
+	bears := capacity(p)
+	third := p.duration / 3
+	o := Play(p.WithRate(0.5 * bears).WithFlood(5))
+	flood := o.Goodput(third+10*time.Second, 2*third)
+	row(t, "flood of one account to 3x: goodput over the peak", flood/bears, "ratio", ">= 0.95", flood >= 0.95*bears)
+	row(t, "flood of one account to 3x: small accounts refused", float64(o.SmallRefused()), "requests", "= 0", o.SmallRefused() == 0)
+	calm := o.Goodput(2*third+2*time.Second, p.duration)
+	row(t, "2 s after the flood: goodput over the offered", calm/(0.5*bears), "ratio", ">= 0.9", calm >= 0.9*0.5*bears)
+	row(t, "flood of one account to 3x: tries a request", o.TriesPerRequest(), "tries", "<= 4", o.TriesPerRequest() <= maxTries)
+}
--- /dev/null
+++ b/internal/coordination/forecast/play.go
@@ -0,0 +1,406 @@
+package forecast
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"bluebellcrank/internal/coordination/route"
+	"bluebellcrank/internal/state/target"
+)
+
+const (
+	prefixTokens   = 1200
+	promptTokens   = 300
+	meanTokens     = 120
+	maxTries       = 4
+	histogramMost  = int64(10 * time.Minute / time.Microsecond)
+	histogramExact = 3
+)
+
+// Policy chooses a target out of an entry's set.
+type Policy func(s *route.Set, r route.Request, tried []*route.Candidate, random *rand.Rand) *route.Candidate
+
+// Ours is the choice that entries make.
+func Ours(s *route.Set, r route.Request, tried []*route.Candidate, random *rand.Rand) *route.Candidate {
+	return s.Pick(r, tried, random)
+}
+
+// Plan is what a forecast plays.
+type Plan struct {
+	model     Model
+	entries   int
+	engines   int
+	accounts  int
+	prefixes  int // of each account
+	rate      float64
+	duration  time.Duration
+	reportAge time.Duration
+	network   time.Duration
+	patience  time.Duration
+	straggler float64
+	restarts  bool
+	flood     float64
+	policy    Policy
+	seed      uint64
+}
+
+// Defaults sets today's drafting pool: 16 engines behind 3 entries.
+func (p *Plan) Defaults() {
+	p.model.Defaults()
+	p.entries = 3
+	p.engines = 16
+	p.accounts = 10
+	p.prefixes = 6
+	p.rate = 40
+	p.duration = 2 * time.Minute
+	p.reportAge = 200 * time.Millisecond
+	p.network = 3 * time.Millisecond
+	p.patience = 10 * time.Second
+	p.straggler = 1
+	p.policy = Ours
+	p.seed = 1
+}
+
+// WithModel returns the plan with another engine.
+func (p Plan) WithModel(m Model, engines int) Plan {
+	p.model, p.engines = m, engines
+	return p
+}
+
+// WithRate returns the plan with so many requests a second.
+func (p Plan) WithRate(rate float64) Plan {
+	p.rate = rate
+	return p
+}
+
+// WithPolicy returns the plan with another choice of target.
+func (p Plan) WithPolicy(policy Policy) Plan {
+	p.policy = policy
+	return p
+}
+
+// WithTrouble returns the plan with one engine at a speed, 1 for sound, and
+// another one that starts anew after a third of the time.
+func (p Plan) WithTrouble(straggler float64, restarts bool) Plan {
+	p.straggler, p.restarts = straggler, restarts
+	return p
+}
+
+// WithFlood returns the plan with the first account sending so many times the
+// whole rate in the middle third.
+func (p Plan) WithFlood(times float64) Plan {
+	p.flood = times
+	return p
+}
+
+// Outcome is what a forecast found.
+type Outcome struct {
+	first    *hdrhistogram.Histogram
+	between  *hdrhistogram.Histogram
+	requests int
+	served   int
+	refused  int
+	hits     int
+	begun    int
+	small    int
+	mostMean float64
+	tries    int
+	perSec   []int
+}
+
+// First returns a quantile of the time to the first token.
+func (o *Outcome) First(q float64) time.Duration { return quantile(o.first, q) }
+
+// Between returns a quantile of the time between two tokens.
+func (o *Outcome) Between(q float64) time.Duration { return quantile(o.between, q) }
+
+// Requests returns how many requests arrived.
+func (o *Outcome) Requests() int { return o.requests }
+
+// Served returns how many requests were answered whole.
+func (o *Outcome) Served() int { return o.served }
+
+// Refused returns how many requests were turned away.
+func (o *Outcome) Refused() int { return o.refused }
+
+// SmallRefused returns how many of the refused were not the flood's.
+func (o *Outcome) SmallRefused() int { return o.small }
+
+// HitRate returns the part of the requests whose prefix was cached.
+func (o *Outcome) HitRate() float64 { return float64(o.hits) / float64(max(o.begun, 1)) }
+
+// MostOverMean returns the requests of the busiest engine over the mean.
+func (o *Outcome) MostOverMean() float64 { return o.mostMean }
+
+// TriesPerRequest returns how many targets a request was offered to.
+func (o *Outcome) TriesPerRequest() float64 { return float64(o.tries) / float64(max(o.requests, 1)) }
+
+// Goodput returns the answers a second between two moments.
+func (o *Outcome) Goodput(from, to time.Duration) float64 {
+	sum := 0
+	for s := int(from / time.Second); s < int(to/time.Second) && s < len(o.perSec); s++ {
+		sum += o.perSec[s]
+	}
+	return float64(sum) / (to - from).Seconds()
+}
+
+func quantile(h *hdrhistogram.Histogram, q float64) time.Duration {
+	return time.Duration(h.ValueAtQuantile(100*q)) * time.Microsecond
+}
+
+// happening is something at a moment of virtual time.
+type happening struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type schedule []happening
+
+func (s schedule) Len() int { return len(s) }
+func (s schedule) Less(i, j int) bool {
+	return s[i].at < s[j].at || s[i].at == s[j].at && s[i].seq < s[j].seq
+}
+func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+
+// Push implements heap.Interface.
+func (s *schedule) Push(x any) { *s = append(*s, x.(happening)) }
+
+// Pop implements heap.Interface.
+func (s *schedule) Pop() any {
+	last := (*s)[len(*s)-1]
+	*s = (*s)[:len(*s)-1]
+	return last
+}
+
+// play is one run of a plan.
+type play struct {
+	plan    Plan
+	random  *rand.Rand
+	now     time.Duration
+	seq     int
+	queue   schedule
+	engines []*engine
+	sets    []*route.Set
+	counts  []int
+	serial  uint64
+	out     *Outcome
+}
+
+// Play runs a plan to its end.
+func Play(p Plan) *Outcome {
+	y := &play{
+		plan:   p,
+		random: rand.New(rand.NewPCG(p.seed, 3)),
+		counts: make([]int, p.engines),
+		out: &Outcome{
+			first:   hdrhistogram.New(1, histogramMost, histogramExact),
+			between: hdrhistogram.New(1, histogramMost, histogramExact),
+			perSec:  make([]int, int(p.duration/time.Second)+1),
+		},
+	}
+	y.build()
+	y.after(y.gap(), y.arrive)
+	for y.queue.Len() > 0 {
+		h := heap.Pop(&y.queue).(happening)
+		if h.at > p.duration {
+			break
+		}
+		y.now = h.at
+		h.do()
+	}
+	y.out.mostMean = y.imbalance()
+	return y.out
+}
+
+func (y *play) after(d time.Duration, do func()) {
+	y.seq++
+	heap.Push(&y.queue, happening{at: y.now + d, seq: y.seq, do: do})
+}
+
+func (y *play) build() {
+	var list []target.Instance
+	for n := range y.plan.engines {
+		e := newEngine(y.plan.model)
+		e.warmUp()
+		y.engines = append(y.engines, e)
+		list = append(list, target.Instance{ID: fmt.Sprintf("engine-%d", n), Role: target.Agent})
+	}
+	if y.plan.straggler != 1 {
+		y.engines[0].speed = y.plan.straggler
+	}
+	if y.plan.restarts {
+		y.after(y.plan.duration/3, y.engines[len(y.engines)-1].restart)
+	}
+	for range y.plan.entries {
+		candidates := make([]*route.Candidate, len(list))
+		for n, i := range list {
+			candidates[n] = route.NewCandidate(i, true)
+			y.report(candidates[n], n, y.snapshot(n))
+		}
+		y.sets = append(y.sets, route.NewSet(candidates))
+	}
+}
+
+// snapshot is an agent's report as of now.
+func (y *play) snapshot(n int) target.Report {
+	e := y.engines[n]
+	pace := max(e.warmth.Latency(), e.paceOf())
+	return target.Report{
+		Limit:     e.warmth.Limit(),
+		Running:   e.gate.Running(),
+		Waiting:   e.gate.Waiting(),
+		LatencyMs: int(pace / time.Millisecond),
+	}
+}
+
+// report delivers a report that is as old as the plan says, again and again.
+func (y *play) report(c *route.Candidate, n int, was target.Report) {
+	c.Report(was, at(y.now))
+	next := y.snapshot(n)
+	y.after(y.plan.reportAge, func() { y.report(c, n, next) })
+}
+
+// gap is the time to the next arrival, a Poisson process.
+func (y *play) gap() time.Duration {
+	return time.Duration(y.random.ExpFloat64() / y.rateNow() * float64(time.Second))
+}
+
+func (y *play) flooding() bool {
+	third := y.plan.duration / 3
+	return y.plan.flood > 0 && y.now >= third && y.now < 2*third
+}
+
+func (y *play) rateNow() float64 {
+	if y.flooding() {
+		return y.plan.rate * (1 + y.plan.flood)
+	}
+	return y.plan.rate
+}
+
+// arrive is one caller; large accounts send more.
+func (y *play) arrive() {
+	y.after(y.gap(), y.arrive)
+	y.out.requests++
+	y.serial++
+	account := int(math.Floor(math.Pow(y.random.Float64(), 2) * float64(y.plan.accounts)))
+	if y.flooding() && y.random.Float64() < y.plan.flood/(1+y.plan.flood) {
+		account = 0
+	}
+	small := account != 0
+	j := &job{
+		id:      y.serial,
+		account: fmt.Sprintf("account-%d", account),
+		prefix:  account*y.plan.prefixes + y.random.IntN(y.plan.prefixes),
+		prompt:  prefixTokens + promptTokens,
+		tokens:  1 + int(y.random.ExpFloat64()*meanTokens),
+	}
+	set := y.sets[y.random.IntN(len(y.sets))]
+	y.send(set, j, small, nil)
+}
+
+// send offers a job to one target after another.
+func (y *play) send(set *route.Set, j *job, small bool, tried []*route.Candidate) {
+	r := route.NewRequest(1, route.Hash(j.account, fmt.Sprint(j.prefix)))
+	c := y.plan.policy(set, r, tried, y.random)
+	if c == nil || len(tried) >= maxTries {
+		y.refuse(small)
+		return
+	}
+	y.out.tries++
+	c.Begin(1)
+	n := y.index(set, c)
+	y.after(y.plan.network, func() { y.reach(set, c, n, j, small, append(tried, c)) })
+}
+
+func (y *play) index(set *route.Set, c *route.Candidate) int {
+	for n, o := range set.Candidates() {
+		if o == c {
+			return n
+		}
+	}
+	panic("forecast: a candidate of another set")
+}
+
+func (y *play) refuse(small bool) {
+	y.out.refused++
+	if small {
+		y.out.small++
+	}
+}
+
+// reach is a job's arrival at an engine.
+func (y *play) reach(set *route.Set, c *route.Candidate, n int, j *job, small bool, tried []*route.Candidate) {
+	e := y.engines[n]
+	if j.arrived == 0 {
+		j.arrived = y.now
+	}
+	hit := e.cached(j.prefix)
+	j.done = func() { y.finish(c, j, small) }
+	accepted, evicted := e.offer(j, 1, y.now, y.plan.patience)
+	for _, o := range evicted {
+		o.done()
+	}
+	if !accepted {
+		c.End(1)
+		c.Refused(true)
+		y.after(y.plan.network, func() { y.send(set, j, small, tried) })
+		return
+	}
+	y.counts[n]++
+	y.out.begun++
+	if hit {
+		y.out.hits++
+	}
+	y.run(e)
+}
+
+// finish ends a job that was accepted; one with tokens left was evicted or
+// expired.
+func (y *play) finish(c *route.Candidate, j *job, small bool) {
+	c.End(1)
+	if j.tokens > 0 {
+		y.refuse(small)
+		return
+	}
+	y.out.served++
+	y.out.perSec[int(y.now/time.Second)]++
+}
+
+// run lets an engine step for as long as it has work.
+func (y *play) run(e *engine) {
+	if e.busy || len(e.running) == 0 {
+		return
+	}
+	e.busy = true
+	d, prefill := e.stepTime()
+	y.after(d, func() {
+		e.busy = false
+		for _, t := range e.step(y.now, prefill) {
+			y.token(t)
+		}
+		y.run(e)
+	})
+}
+
+func (y *play) token(t emitted) {
+	h := y.out.between
+	if t.first {
+		h = y.out.first
+	}
+	_ = h.RecordValue(min(int64(t.gap/time.Microsecond), histogramMost))
+}
+
+func (y *play) imbalance() float64 {
+	most, sum := 0, 0
+	for _, n := range y.counts {
+		most = max(most, n)
+		sum += n
+	}
+	return float64(most*len(y.counts)) / float64(max(sum, 1))
+}
--- a/internal/coordination/route/chooser.go
+++ b/internal/coordination/route/chooser.go
@@ -1,6 +1,9 @@
 package route
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
+	"strconv"
+)
 
 const (
 	// affinityBound is how far over the mean load a target may be and still
@@ -29,6 +32,14 @@
 	return Request{units: units, affinity: affinity}
 }
 
+// Affinity returns the hash of the prompt prefix as text, or "" for none.
+func (r Request) Affinity() string {
+	if r.affinity == 0 {
+		return ""
+	}
+	return strconv.FormatUint(r.affinity, 16)
+}
+
 // Set is an immutable list of candidates.
 type Set struct {
 	candidates []*Candidate
