--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -164,6 +164,11 @@
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 			return
 		}
+		if o != nil && o.before != nil && p.faults.StaleReads > 0 {
+			p.faults.StaleReads--
+			answerObject(ctx, o.before)
+			return
+		}
 		if o != nil && o.version > after || !time.Now().Before(until) {
 			answerObject(ctx, o)
 			return
--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -24,6 +24,7 @@
 	tickEvery    = 20 * time.Millisecond
 	drainEvery   = 20 * time.Millisecond
 	drainWait    = 3 * time.Second
+	closeWait    = time.Second
 	maxBodyBytes = 32 << 20
 	headerBytes  = 32 << 10
 )
@@ -123,7 +124,7 @@
 			break
 		}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), drainWait)
+	ctx, cancel := context.WithTimeout(context.Background(), closeWait)
 	defer cancel()
 	_ = a.server.ShutdownWithContext(ctx)
 }
--- a/internal/transport/member/follow.go
+++ b/internal/transport/member/follow.go
@@ -27,6 +27,8 @@
 	watchPause = 300 * time.Millisecond
 	// fileBatch keeps one reply of files within a few megabytes.
 	fileBatch = 4
+	// keepFiles is how long files are kept that are no longer in force.
+	keepFiles = 30 * time.Second
 )
 
 // fetch gets the files of the given digests.
@@ -47,7 +49,7 @@
 			m.pause(watchPause)
 			continue
 		}
-		version = o.Version
+		version = max(version, o.Version)
 		if m.adoptObject(o) == nil {
 			m.loop.Tell(func(time.Time) { m.trust.Heard(asked) })
 		}
@@ -108,7 +110,7 @@
 		event.ConfigInvalid.Log(m.log, "revision", h.Revision, "error", err)
 		return err
 	}
-	m.remember(files)
+	m.remember(files, time.Now())
 	process.Ask(m.loop, func(time.Time) struct{} {
 		m.current.Store(c)
 		m.onConfig(c)
@@ -130,7 +132,7 @@
 			missing = append(missing, r.Digest)
 			continue
 		}
-		out = append(out, config.File{Name: r.Name, Content: f.Content})
+		out = append(out, config.File{Name: r.Name, Content: f.file.Content})
 	}
 	m.filesMu.RUnlock()
 	if len(missing) == 0 {
@@ -155,14 +157,25 @@
 	return out, nil
 }
 
-func (m *Member) remember(files []config.File) {
-	kept := make(map[string]config.File, len(files))
-	for _, f := range files {
-		kept[f.Digest()] = f
-	}
+// keptFile is a file of this or of a recent configuration.
+type keptFile struct {
+	file config.File
+	used time.Time
+}
+
+// remember keeps a configuration's files, and for a while those of the ones
+// before: a peer may be in the middle of pulling them.
+func (m *Member) remember(files []config.File, now time.Time) {
 	m.filesMu.Lock()
 	defer m.filesMu.Unlock()
-	m.files = kept
+	for _, f := range files {
+		m.files[f.Digest()] = keptFile{file: f, used: now}
+	}
+	for d, k := range m.files {
+		if now.Sub(k.used) > keepFiles {
+			delete(m.files, d)
+		}
+	}
 }
 
 // tellPeers spreads a revision that is new to this process.
@@ -295,7 +308,7 @@
 	var out peer.FileReply
 	for _, d := range r.Digests {
 		if f, found := m.files[d]; found {
-			out.Files = append(out.Files, f)
+			out.Files = append(out.Files, f.file)
 		}
 	}
 	return out, nil
--- a/internal/transport/member/member.go
+++ b/internal/transport/member/member.go
@@ -49,7 +49,7 @@
 
 	adopting sync.Mutex
 	builder  *config.Builder
-	files    map[string]config.File
+	files    map[string]keptFile
 	filesMu  sync.RWMutex
 
 	stop    chan struct{}
@@ -137,7 +137,7 @@
 		refusals:    refusal.NewLog(s.RefusalsKept),
 		kept:        map[string][]refusal.Refusal{},
 		builder:     config.NewBuilder(),
-		files:       map[string]config.File{},
+		files:       map[string]keptFile{},
 		stop:        make(chan struct{}),
 	}
 	m.instances.Store(&[]target.Instance{})
--- a/internal/transport/operator/push.go
+++ b/internal/transport/operator/push.go
@@ -16,7 +16,8 @@
 
 const (
 	// pushTries is how often a push starts again after another operator's.
-	pushTries = 10
+	pushTries = 30
+	racePause = 200 * time.Millisecond
 	// readBackTries is how often a lost answer is asked after.
 	readBackTries = 10
 	readBackPause = 300 * time.Millisecond
@@ -83,6 +84,7 @@
 	for n := 0; n < pushTries; n++ {
 		p, err := pushOnce(client, base, local, changeID)
 		if errors.Is(err, platform.ErrConflict) {
+			time.Sleep(rand.N(racePause))
 			continue
 		}
 		if err == nil {
@@ -98,6 +100,10 @@
 	if err != nil {
 		return Pushed{}, err
 	}
+	if head.Revision < base.Revision {
+		// The platform answered with an older state than this folder has seen.
+		return Pushed{}, platform.ErrConflict
+	}
 	files, rebased, err := rebase(client, base, head, local)
 	if err != nil {
 		return Pushed{}, err
