Membership through peers, refusals that outlive their process, deterministic fairness

Change: watchers read the list, the others take it from peers in 64 parts by digest; peers write the refusals of processes that are gone, readers take each id once; ties between accounts are broken by name; a gate looks for idle accounts only when their number has doubled; the model offers an evicted request elsewhere, as entries do. Counters of peer bytes and gauges.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,19 @@
 	@if [ -n "$(KNOWN_RED)" ]; then echo "known red, passed over: $(KNOWN_RED)"; cat KNOWN-RED.txt; fi
 	$(GO) test -race -count=1 -timeout 20m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
 
+# The promises on real processes, and each twin with its guard off.
+# SEEDS=n schedules each, SEED=n just that one.
+SEEDS ?= 20
+prove: build
+	@SEEDS=$(SEEDS) SEED=$(SEED) $(GO) test -count=1 -timeout 60m -v -run 'TestProve|TestTwin|TestRunsAtMostOnce|TestOneMap|TestExplored|TestTwinsFail' ./cmd/standin ./internal/coordination/claim ./internal/coordination/switchover > $(BIN)/prove.log 2>&1; \
+	status=$$?; grep -E '^ *--- |seed [0-9]+:|the checker noticed|worlds|states|^ok|^FAIL' $(BIN)/prove.log; exit $$status
+
+# Measurements. Those from the clock have no verdict in CI.
+bench: build
+	@$(GO) test -count=1 -tags bench -timeout 30m -v -run 'TestMeasure' ./cmd/standin ./internal/... > $(BIN)/bench.log 2>&1; \
+	$(GO) test -run XXX -bench . -benchmem ./internal/... >> $(BIN)/bench.log 2>&1; \
+	sh docs/benchmarks.sh $(BIN)/bench.log > docs/BENCHMARKS.md; cat docs/BENCHMARKS.md
+
 lint:
 	@test -z "$$(gofmt -l cmd internal)" || { gofmt -l cmd internal; exit 1; }
 	$(GO) vet ./...
--- /dev/null
+++ b/cmd/standin/caller_test.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const callerConfig = `
+services:
+  bells: {kind: plain, cold-limit: 4, warm-limit: 8, warm-up: 16, timeout: 2s, non-idempotent: [POST /ring]}
+  vault: {kind: plain}
+data-centres: {east: {}}
+accounts:
+  parish: {services: [bells], keys: ["DIGEST"]}
+  hasty: {services: [bells], requests-per-second: 1, keys: ["HASTY"]}
+`
+
+func TestCallersAreToldWhy(t *testing.T) {
+	f := testFleet(t)
+	must(t, f.addTarget("bells-1", "bells", "east"), f.addEntry("entry-1", "east", "--max-body=2000"), f.publish())
+	config := strings.ReplaceAll(withKey(callerConfig), "HASTY", digestOf("hasty-key"))
+	push(t, f, map[string]string{"10.yaml": config})
+	must(t, f.ready("entry-1", "bells"))
+	big := fmt.Sprintf(`{"token":%q}`, strings.Repeat("x", 4000))
+	key := map[string]string{"Idempotency-Key": "k1"}
+	tests := []struct {
+		name, method, path, body string
+		headers                  map[string]string
+		status                   int
+		reason                   string
+	}{
+		{"no key", "GET", "/bells/x", "", map[string]string{"X-Api-Key": ""}, 401, "unauthorized"},
+		{"unknown key", "GET", "/bells/x", "", map[string]string{"X-Api-Key": "nobody"}, 401, "unauthorized"},
+		{"foreign service", "GET", "/vault/x", "", nil, 403, "forbidden"},
+		{"unknown service", "GET", "/organ/x", "", nil, 404, "unknown-service"},
+		{"no idempotency key", "POST", "/bells/ring", "{}", nil, 400, "idempotency-key-missing"},
+		{"bad timeout", "GET", "/bells/x", "", map[string]string{"Request-Timeout-Ms": "soon"}, 400, "bad-request"},
+		{"long idempotency key", "POST", "/bells/ring", "{}", map[string]string{"Idempotency-Key": strings.Repeat("k", 300)}, 400, "bad-request"},
+		{"body too large", "GET", "/bells/x", big, nil, 413, "too-large"},
+		{"first order", "POST", "/bells/ring", `{"token":"a"}`, key, 200, ""},
+		{"key with another body", "POST", "/bells/ring", `{"token":"b"}`, key, 422, "idempotency-key-reused"},
+		{"first of the hasty", "GET", "/bells/x", "", map[string]string{"X-Api-Key": "hasty-key"}, 200, ""},
+		{"second of the hasty", "GET", "/bells/x", "", map[string]string{"X-Api-Key": "hasty-key"}, 429, "rate-limited"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			got, err := f.send("entry-1", tt.method, tt.path, tt.body, tt.headers)
+			c.Assert(err, qt.IsNil)
+			c.Check(got.status, qt.Equals, tt.status, qt.Commentf("%s", got.body))
+			c.Check(got.reason, qt.Equals, tt.reason)
+			if tt.status != 200 {
+				c.Check(got.effect, qt.Equals, "not-run")
+				c.Check(got.id, qt.Not(qt.Equals), "")
+			}
+		})
+	}
+	t.Run("operators see them", func(t *testing.T) { operatorsSee(t, f) })
+	t.Run("a slow caller", func(t *testing.T) { slowCaller(t, f) })
+}
+
+// operatorsSee reads the refusals back with the operators' commands.
+func operatorsSee(t *testing.T, f *fleet) {
+	c := qt.New(t)
+	got, _ := f.send("entry-1", "GET", "/vault/secret", "", nil)
+	var out string
+	must(t, waitFor(func() bool {
+		var err error
+		out, err = f.operator("explain", got.id)
+		return err == nil
+	}, "the refusal is saved"))
+	c.Check(out, qt.Contains, `account "parish", service "vault"`)
+	c.Check(out, qt.Contains, "the account may not use the service")
+	list, err := f.operator("refusals", "--account=parish")
+	c.Assert(err, qt.IsNil)
+	c.Check(list, qt.Contains, got.id)
+	c.Check(list, qt.Contains, "0 lost for want of room")
+	dump, err := f.operator("dump", "bells-1")
+	c.Assert(err, qt.IsNil)
+	c.Check(dump, qt.Contains, "target-up: true")
+	for _, secret := range []string{demoKey, "hasty-key"} {
+		c.Check(strings.Contains(list+dump+out, secret), qt.IsFalse)
+	}
+	_, err = f.operator("dump", "nobody")
+	c.Check(err, qt.IsNotNil)
+}
+
+// slowCaller sends a header and no more; others are served meanwhile, and its
+// connection is ended.
+func slowCaller(t *testing.T, f *fleet) {
+	c := qt.New(t)
+	must(t, f.addEntry("entry-2", "east", "--read-timeout=300ms"), f.publish())
+	must(t, f.ready("entry-2", "bells"))
+	conn, err := net.Dial("tcp", f.instance("entry-2").Traffic)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write([]byte("GET /bells/x HTTP/1.1\r\nHost: x\r\n"))
+	c.Assert(err, qt.IsNil)
+	_ = conn.SetReadDeadline(time.Now().Add(startTimeout))
+	buffer := make([]byte, 1000)
+	for err == nil {
+		_, err = conn.Read(buffer)
+	}
+	c.Check(err.Error(), qt.Not(qt.Contains), "timeout")
+	got, err := f.send("entry-2", "GET", "/bells/x", "", nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(got.status, qt.Equals, 200)
+}
+
+func TestRefusalsSurviveAnOutage(t *testing.T) {
+	c := qt.New(t)
+	f := testFleet(t)
+	must(t, f.addTarget("bells-1", "bells", "east"), f.addEntry("entry-1", "east"), f.publish())
+	push(t, f, map[string]string{"10.yaml": withKey(coldConfig)})
+	must(t, f.ready("entry-1", "bells"))
+	must(t, f.post("http://"+f.platform+"/faults", platformFaults{Down: true}))
+	got, _ := f.send("entry-1", "GET", "/organ/x", "", nil)
+	c.Assert(got.reason, qt.Equals, "unknown-service")
+	must(t, waitFor(func() bool {
+		dump, err := ask(f, f.instance("bells-1"))
+		return err == nil && dump.Kept > 0
+	}, "a peer keeps the refusal"))
+	f.proc("entry-1").kill()
+	f.remove("entry-1")
+	must(t, f.publish(), f.post("http://"+f.platform+"/faults", platformFaults{}))
+	must(t, waitFor(func() bool {
+		_, err := f.operator("explain", got.id)
+		return err == nil
+	}, "the peer wrote the refusal of a process that is gone"))
+}
--- a/cmd/standin/fleet.go
+++ b/cmd/standin/fleet.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -72,12 +73,13 @@
 	entryTwin string
 	viaRelay  bool
 	controls  map[string]string
+	operators map[string]string
 }
 
 func newFleet(dir, binary, standin string) (*fleet, error) {
 	f := &fleet{
 		dir: dir, binary: binary, standin: standin,
-		byName: map[string]*proc{}, targets: map[string]string{}, controls: map[string]string{}, seen: map[string]target.Instance{},
+		byName: map[string]*proc{}, targets: map[string]string{}, controls: map[string]string{}, operators: map[string]string{}, seen: map[string]target.Instance{},
 		pool:   peer.NewPool(2 * time.Second),
 		client: &fasthttp.Client{MaxIdemponentCallAttempts: 1, ReadTimeout: time.Minute},
 	}
@@ -219,7 +221,11 @@
 }
 
 func (f *fleet) common(i target.Instance) []string {
+	if f.operators[i.ID] == "" {
+		f.operators[i.ID] = freeAddress()
+	}
 	args := []string{
+		"--operator-listen=" + f.operators[i.ID],
 		"--instance=" + i.ID, "--data-centre=" + i.DataCentre, "--platform=http://" + f.platform,
 		"--peer-listen=" + i.Peer, "--traffic-listen=" + i.Traffic,
 	}
@@ -253,6 +259,16 @@
 	}
 }
 
+// operatorOf is where a process serves its operators.
+func (f *fleet) operatorOf(id string) string { return f.operators[id] }
+
+// remove takes an instance off the list that is published next.
+func (f *fleet) remove(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.instances = slices.DeleteFunc(f.instances, func(i target.Instance) bool { return i.ID == id })
+}
+
 func (f *fleet) instance(id string) target.Instance {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/cmd/standin/path_test.go
+++ b/cmd/standin/path_test.go
@@ -77,9 +77,11 @@
 	}
 }
 
+func digestOf(key string) string { return account.HashKey(key).String() }
+
 // withKey puts the digest of the callers' key into a configuration.
 func withKey(config string) string {
-	return strings.ReplaceAll(config, "DIGEST", account.HashKey(demoKey).String())
+	return strings.ReplaceAll(config, "DIGEST", digestOf(demoKey))
 }
 
 func write(t *testing.T, f *fleet, name, content string) {
--- a/internal/coordination/admission/gate.go
+++ b/internal/coordination/admission/gate.go
@@ -7,9 +7,9 @@
 	"bluebellcrank/internal/state/refusal"
 )
 
-// maxIdleFlows is how many accounts a gate remembers before it forgets those
-// without work here.
-const maxIdleFlows = 1024
+// minSweep is how many accounts a gate remembers at least before it forgets
+// those without work here.
+const minSweep = 1024
 
 // Verdict is what becomes of a request at the gate.
 type Verdict string
@@ -90,6 +90,7 @@
 	queued     int
 	flows      map[string]*flow
 	backlog    map[string]*flow
+	sweepAt    int
 	virtual    float64
 	mean       time.Duration
 }
@@ -102,6 +103,7 @@
 		running:    map[uint64]Ticket{},
 		flows:      map[string]*flow{},
 		backlog:    map[string]*flow{},
+		sweepAt:    minSweep,
 	}
 }
 
@@ -215,11 +217,13 @@
 	return f
 }
 
-// sweep forgets the accounts that owe nothing any more.
+// sweep forgets the accounts that owe nothing any more, each time that their
+// number has doubled.
 func (g *Gate) sweep() {
-	if len(g.flows) < maxIdleFlows {
+	if len(g.flows) < g.sweepAt {
 		return
 	}
+	defer func() { g.sweepAt = max(minSweep, 2*len(g.flows)) }()
 	for name, f := range g.flows {
 		if len(f.queue) == 0 && f.finish <= g.virtual {
 			delete(g.flows, name)
@@ -279,9 +283,10 @@
 	}
 	for _, f := range g.backlog {
 		load := float64(f.units) / float64(f.queue[0].weight)
-		if f.account != t.account && load > heaviest {
-			most, heaviest = f, load
+		if f.account == t.account || load < heaviest || load == heaviest && (most == nil || most.account < f.account) {
+			continue
 		}
+		most, heaviest = f, load
 	}
 	if most == nil {
 		return 0, false
--- a/internal/coordination/forecast/engine.go
+++ b/internal/coordination/forecast/engine.go
@@ -47,6 +47,7 @@
 	arrived time.Duration
 	last    time.Duration
 	done    func()
+	evicted func()
 }
 
 // engine is one target with the gate of the agent beside it.
--- a/internal/coordination/forecast/play.go
+++ b/internal/coordination/forecast/play.go
@@ -342,14 +342,13 @@
 	}
 	hit := e.cached(j.prefix)
 	j.done = func() { y.finish(c, j, small) }
+	j.evicted = func() { y.again(set, c, j, small, tried) }
 	accepted, evicted := e.offer(j, 1, y.now, y.plan.patience)
 	for _, o := range evicted {
-		o.done()
+		o.evicted()
 	}
 	if !accepted {
-		c.End(1)
-		c.Refused(true)
-		y.after(y.plan.network, func() { y.send(set, j, small, tried) })
+		y.again(set, c, j, small, tried)
 		return
 	}
 	y.counts[n]++
@@ -360,8 +359,14 @@
 	y.run(e)
 }
 
-// finish ends a job that was accepted; one with tokens left was evicted or
-// expired.
+// again offers a job elsewhere that a target had no room for.
+func (y *play) again(set *route.Set, c *route.Candidate, j *job, small bool, tried []*route.Candidate) {
+	c.End(1)
+	c.Refused(true)
+	y.after(y.plan.network, func() { y.send(set, j, small, tried) })
+}
+
+// finish ends a job that was accepted; one with tokens left has expired.
 func (y *play) finish(c *route.Candidate, j *job, small bool) {
 	c.End(1)
 	if j.tokens > 0 {
--- a/internal/coordination/revision/spread.go
+++ b/internal/coordination/revision/spread.go
@@ -16,6 +16,8 @@
 	// fanout is how many peers a process tells at once about a revision that
 	// is new to it.
 	fanout = 4
+	// tellTries bounds the search for that many different ones.
+	tellTries = 16
 )
 
 // Watches reports whether an instance is one of its data centre's watchers.
@@ -40,11 +42,16 @@
 	return slices.Index(ids, self) < watchersPerCentre
 }
 
-// Tell returns the peers to tell about a new revision: one in another data
-// centre where there is one, the others at random.
+// Tell returns the peers to tell about a new revision: a few at random, and
+// one in another data centre where none of them is.
 func Tell(self, centre string, all []target.Instance, random *rand.Rand) []target.Instance {
-	peers := others(self, all)
-	out := sample(peers, fanout, random)
+	var out []target.Instance
+	for n := 0; n < tellTries && len(out) < fanout; n++ {
+		i, found := Near(self, all, random)
+		if found && !slices.Contains(out, i) {
+			out = append(out, i)
+		}
+	}
 	if slices.ContainsFunc(out, func(i target.Instance) bool { return i.DataCentre != centre }) {
 		return out
 	}
@@ -56,33 +63,42 @@
 
 // Near returns a random peer of any data centre to compare revisions with.
 func Near(self string, all []target.Instance, random *rand.Rand) (target.Instance, bool) {
-	return one(others(self, all), random)
+	return pick(all, random, func(i target.Instance) bool { return i.ID != self })
 }
 
 // Far returns a random peer outside the data centre.
 func Far(self, centre string, all []target.Instance, random *rand.Rand) (target.Instance, bool) {
-	peers := slices.DeleteFunc(others(self, all), func(i target.Instance) bool { return i.DataCentre == centre })
-	return one(peers, random)
+	return pick(all, random, func(i target.Instance) bool { return i.ID != self && i.DataCentre != centre })
 }
 
-func others(self string, all []target.Instance) []target.Instance {
-	out := make([]target.Instance, 0, len(all))
+// pick walks from a random place to the first that fits; most lists need a
+// step or two.
+func pick(all []target.Instance, random *rand.Rand, fits func(target.Instance) bool) (target.Instance, bool) {
+	if len(all) == 0 {
+		return target.Instance{}, false
+	}
+	start, step := random.IntN(len(all)), 1+random.IntN(len(all))
+	for n := range len(all) {
+		if i := all[(start+n*step)%len(all)]; fits(i) {
+			return i, true
+		}
+	}
 	for _, i := range all {
-		if i.ID != self {
-			out = append(out, i)
+		if fits(i) {
+			return i, true
 		}
 	}
-	return out
+	return target.Instance{}, false
 }
 
-func one(peers []target.Instance, random *rand.Rand) (target.Instance, bool) {
-	if len(peers) == 0 {
-		return target.Instance{}, false
+// Keeper returns the peer that holds what an instance cannot save.
+func Keeper(self string, all []target.Instance) (target.Instance, bool) {
+	var best target.Instance
+	var weight uint64
+	for _, i := range all {
+		if w := route.Hash(self, i.ID); i.ID != self && w >= weight {
+			best, weight = i, w
+		}
 	}
-	return peers[random.IntN(len(peers))], true
-}
-
-func sample(peers []target.Instance, n int, random *rand.Rand) []target.Instance {
-	random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	return slices.Clone(peers[:min(n, len(peers))])
+	return best, best.ID != ""
 }
--- a/internal/protocol/peer/message.go
+++ b/internal/protocol/peer/message.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bluebellcrank/internal/coordination/membership"
 	"bluebellcrank/internal/state/config"
 	"bluebellcrank/internal/state/refusal"
 	"bluebellcrank/internal/state/target"
@@ -11,6 +12,7 @@
 	MethodExchange = "revision.exchange"
 	MethodHead     = "config.head"
 	MethodFiles    = "config.files"
+	MethodList     = "list.parts"
 	MethodReport   = "target.report"
 	MethodSettle   = "attempt.settle"
 	MethodConfirm  = "attempt.confirm"
@@ -26,13 +28,27 @@
 
 // Exchange tells a peer which revision the sender holds and where the sender
 // answers; the reply is the receiver's own. HeardMs is how long ago the sender
-// had word from the platform or from outside its data centre.
+// had word from the platform or from outside its data centre, ListMs how long
+// ago the platform had the sender's instance list, negative for none.
 type Exchange struct {
 	Instance   string `json:"instance"`
 	DataCentre string `json:"data-centre"`
 	Address    string `json:"address"`
 	Revision   int64  `json:"revision"`
 	HeardMs    int64  `json:"heard-ms"`
+	ListMs     int64  `json:"list-ms"`
+	ListHash   uint64 `json:"list-hash"`
+}
+
+// ListRequest asks for the parts of the instance list that differ.
+type ListRequest struct {
+	Digest membership.Digest `json:"digest"`
+}
+
+// ListReply has those parts, and how long ago the platform had them.
+type ListReply struct {
+	AgeMs int64             `json:"age-ms"`
+	Parts []membership.Part `json:"parts"`
 }
 
 // FileRequest names files by digest.
@@ -116,6 +132,7 @@
 	Report     *target.Report `json:"report,omitempty"`
 	Pending    int            `json:"refusals-pending"`
 	Dropped    int            `json:"refusals-dropped"`
+	Kept       int            `json:"refusals-kept-for-peers"`
 }
 
 // Dump is a process's state in YAML.
--- a/internal/protocol/peer/pool.go
+++ b/internal/protocol/peer/pool.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -20,15 +21,19 @@
 // Pool keeps one connection to each peer that was called.
 type Pool struct {
 	timeout time.Duration
+	bytes   *atomic.Int64
 	mu      sync.Mutex
 	conns   map[string]*jsonrpc2.Conn
 }
 
 // NewPool returns a pool whose calls take at most timeout.
 func NewPool(timeout time.Duration) *Pool {
-	return &Pool{timeout: timeout, conns: map[string]*jsonrpc2.Conn{}}
+	return &Pool{timeout: timeout, bytes: &atomic.Int64{}, conns: map[string]*jsonrpc2.Conn{}}
 }
 
+// Bytes counts what the connections carry, both ways; a Server can share it.
+func (p *Pool) Bytes() *atomic.Int64 { return p.bytes }
+
 // ignore refuses calls that come back on an outgoing connection.
 type ignore struct{}
 
@@ -54,7 +59,7 @@
 // one may have gone silent.
 func CallFresh[P, R any](p *Pool, address, method string, params P, timeout time.Duration) (R, error) {
 	var result R
-	conn, err := dial(address)
+	conn, err := p.dial(address)
 	if err != nil {
 		return result, err
 	}
@@ -103,7 +108,7 @@
 	if known != nil && open(known) {
 		return known, nil
 	}
-	conn, err := dial(address)
+	conn, err := p.dial(address)
 	if err != nil {
 		return nil, err
 	}
@@ -152,10 +157,10 @@
 	p.Keep(nil)
 }
 
-func dial(address string) (*jsonrpc2.Conn, error) {
+func (p *Pool) dial(address string) (*jsonrpc2.Conn, error) {
 	conn, err := net.DialTimeout("tcp", address, dialTimeout)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrUnreachable, err)
 	}
-	return jsonrpc2.NewConn(context.Background(), stream(conn), ignore{}, silent), nil
+	return jsonrpc2.NewConn(context.Background(), stream(&counted{Conn: conn, bytes: p.bytes}), ignore{}, silent), nil
 }
--- a/internal/protocol/peer/server.go
+++ b/internal/protocol/peer/server.go
@@ -7,6 +7,7 @@
 	"log"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/sourcegraph/jsonrpc2"
 )
@@ -71,8 +72,29 @@
 	done     sync.WaitGroup
 }
 
-// Serve starts answering on a listener until Close.
-func Serve(l net.Listener, m *Mux) *Server {
+// counted adds the bytes of a connection to a count.
+type counted struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *counted) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Serve starts answering on a listener until Close, and adds what its
+// connections carry to a count.
+func Serve(l net.Listener, m *Mux, bytes *atomic.Int64) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{listener: l, cancel: cancel}
 	s.done.Add(1)
@@ -83,7 +105,7 @@
 			if err != nil {
 				return
 			}
-			jsonrpc2.NewConn(ctx, stream(conn), jsonrpc2.AsyncHandler(m), silent)
+			jsonrpc2.NewConn(ctx, stream(&counted{Conn: conn, bytes: bytes}), jsonrpc2.AsyncHandler(m), silent)
 		}
 	}()
 	return s
--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -96,6 +96,7 @@
 		Logger:                quiet{},
 	}
 	a.operator = process.NewOperator(operator, a.metrics, process.NewView(a.ready, a.dump))
+	member.Measure(a.metrics, a.member)
 	a.member.Start()
 	go a.poll()
 	go a.watchConnection()
--- a/internal/transport/agent/methods.go
+++ b/internal/transport/agent/methods.go
@@ -106,7 +106,7 @@
 			Report:     a.report.Load(),
 		}
 		s.Ready = s.Report.Refusing == ""
-		s.Pending, s.Dropped = a.member.RefusalCounts()
+		s.Pending, s.Dropped, s.Kept = a.member.RefusalCounts()
 		return s
 	})
 }
--- a/internal/transport/entry/dump.go
+++ b/internal/transport/entry/dump.go
@@ -19,7 +19,7 @@
 			Revision:   e.member.Revision(),
 			Ready:      e.ready(),
 		}
-		s.Pending, s.Dropped = e.member.RefusalCounts()
+		s.Pending, s.Dropped, s.Kept = e.member.RefusalCounts()
 		return s
 	})
 }
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -100,6 +100,7 @@
 	})
 	e.app.Use(e.serve)
 	e.operator = process.NewOperator(operator, set, process.NewView(e.ready, e.dump))
+	member.Measure(e.metrics, e.member)
 	e.member.Start()
 	go func() {
 		l := process.SlowWriters(traffic, s.WriteTimeout)
--- a/internal/transport/member/follow.go
+++ b/internal/transport/member/follow.go
@@ -220,6 +220,7 @@
 	if err != nil {
 		return
 	}
+	m.compareLists(i, theirs, asked)
 	if theirs.Revision > m.Revision() && m.pull(i.Peer) != nil {
 		return
 	}
@@ -241,12 +242,19 @@
 }
 
 func (m *Member) exchangeMessage() peer.Exchange {
+	list := m.list.Load()
+	listMs := int64(-1)
+	if !list.Empty() {
+		listMs = process.Ask(m.loop, list.Age).Milliseconds()
+	}
 	return peer.Exchange{
 		Instance:   m.settings.Instance,
 		DataCentre: m.settings.DataCentre,
 		Address:    m.address,
 		Revision:   m.Revision(),
 		HeardMs:    process.Ask(m.loop, m.trust.Age).Milliseconds(),
+		ListMs:     listMs,
+		ListHash:   list.Hash(),
 	}
 }
 
@@ -277,6 +285,7 @@
 	peer.Handle(m.mux, peer.MethodExchange, m.answerExchange)
 	peer.Handle(m.mux, peer.MethodHead, m.answerHead)
 	peer.Handle(m.mux, peer.MethodFiles, m.answerFiles)
+	peer.Handle(m.mux, peer.MethodList, m.answerList)
 	peer.Handle(m.mux, peer.MethodKeep, m.answerKeep)
 	peer.Handle(m.mux, peer.MethodWritten, m.answerWritten)
 	peer.Handle(m.mux, peer.MethodStatus, func(context.Context, peer.Nothing) (peer.Status, error) {
--- a/internal/transport/member/member.go
+++ b/internal/transport/member/member.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"bluebellcrank/internal/coordination/membership"
 	"bluebellcrank/internal/coordination/revision"
 	"bluebellcrank/internal/protocol/peer"
 	"bluebellcrank/internal/protocol/platform"
@@ -32,19 +33,21 @@
 	pool        *peer.Pool
 	mux         *peer.Mux
 	server      *peer.Server
+	listener    net.Listener
 	address     string
 
-	current   atomic.Pointer[config.Config]
-	instances atomic.Pointer[[]target.Instance]
-	newer     func(current, offered int64) bool
-	onConfig  func(*config.Config)
-	onList    func([]target.Instance)
+	current  atomic.Pointer[config.Config]
+	list     atomic.Pointer[membership.List]
+	newer    func(current, offered int64) bool
+	onConfig func(*config.Config)
+	onList   func([]target.Instance)
 
 	trust    *revision.Trust
 	isolated bool
 	platOK   bool
 	refusals *refusal.Log
 	kept     map[string][]refusal.Refusal
+	keeper   atomic.Pointer[target.Instance]
 	serial   atomic.Uint64
 
 	adopting sync.Mutex
@@ -127,6 +130,7 @@
 		platform:    platform.NewClient(s.Platform, s.PlatformTimeout),
 		pool:        peer.NewPool(s.PeerTimeout),
 		mux:         peer.NewMux(),
+		listener:    o.listener,
 		address:     o.listener.Addr().String(),
 		newer:       o.newer,
 		onConfig:    o.onConfig,
@@ -140,22 +144,22 @@
 		files:       map[string]keptFile{},
 		stop:        make(chan struct{}),
 	}
-	m.instances.Store(&[]target.Instance{})
+	m.list.Store(&membership.List{})
 	m.handle(o)
 	o.extend(m.mux)
-	m.server = peer.Serve(o.listener, m.mux)
 	return m
 }
 
-// Start begins to follow the platform and the peers; the owner calls it once
-// its hooks may be called.
+// Start begins to answer peers and to follow them and the platform; the owner
+// calls it once its hooks may be called.
 func (m *Member) Start() {
+	m.server = peer.Serve(m.listener, m.mux, m.pool.Bytes())
 	m.work(func() { process.Every(m.settings.ListEvery, m.stop, m.refreshList) })
 	m.work(m.watch)
 	m.work(func() { process.Every(m.settings.ExchangeEvery, m.stop, m.exchangeNear) })
 	m.work(func() { process.Every(m.settings.ExchangeEvery, m.stop, m.exchangeFar) })
 	m.work(func() { process.Every(m.settings.RefusalBatch, m.stop, m.saveRefusals) })
-	m.work(func() { m.refreshList(time.Time{}) })
+	m.work(func() { m.refreshList(time.Now()) })
 }
 
 func (m *Member) work(f func()) {
@@ -202,7 +206,7 @@
 }
 
 // Instances returns the instance list as last read.
-func (m *Member) Instances() []target.Instance { return *m.instances.Load() }
+func (m *Member) Instances() []target.Instance { return m.list.Load().Instances() }
 
 // NewID returns an id that no other process and no other run makes.
 func (m *Member) NewID() string {
@@ -246,29 +250,6 @@
 	return isolated
 }
 
-// refreshList reads the instance list.
-func (m *Member) refreshList(time.Time) {
-	list, err := m.platform.Instances()
-	m.loop.Tell(func(time.Time) {
-		m.heardPlatform(err)
-		if err != nil {
-			return
-		}
-		m.instances.Store(&list)
-		m.trust.SetSingle(m.single(list))
-		m.onList(list)
-	})
-}
-
-func (m *Member) single(list []target.Instance) bool {
-	for _, i := range list {
-		if i.DataCentre != m.settings.DataCentre {
-			return false
-		}
-	}
-	return true
-}
-
 // heardPlatform logs the platform's coming and going.
 func (m *Member) heardPlatform(err error) {
 	ok := err == nil
--- a/internal/transport/member/refusals.go
+++ b/internal/transport/member/refusals.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"github.com/samber/lo"
@@ -14,6 +13,7 @@
 	"bluebellcrank/internal/protocol/platform"
 	"bluebellcrank/internal/state/event"
 	"bluebellcrank/internal/state/refusal"
+	"bluebellcrank/internal/state/target"
 	"bluebellcrank/internal/transport/process"
 )
 
@@ -49,21 +49,23 @@
 	batch := process.Ask(m.loop, func(time.Time) pendingBatch {
 		return pendingBatch{refusals: m.refusals.Batch(refusalBatch), dropped: m.refusals.Dropped()}
 	})
+	m.inherit(now)
 	if len(batch.refusals) == 0 {
 		return
 	}
-	if err := m.writeBatch(batch, now); err != nil {
+	if err := m.writeBatch(m.settings.Instance, batch, now); err != nil {
 		event.RefusalsUnsaved.Log(m.log, "count", len(batch.refusals), "error", err)
 		m.copyToPeer(batch.refusals)
 		return
 	}
 	ids := lo.Map(batch.refusals, func(r refusal.Refusal, _ int) string { return r.ID })
 	m.loop.Tell(func(time.Time) { m.refusals.Written(ids) })
+	m.tellKeeper(ids)
 }
 
-func (m *Member) writeBatch(b pendingBatch, now time.Time) error {
+func (m *Member) writeBatch(of string, b pendingBatch, now time.Time) error {
 	value, err := json.Marshal(refusal.Batched{
-		Process:  m.settings.Instance,
+		Process:  of,
 		Time:     now.UTC(),
 		Dropped:  b.dropped,
 		Refusals: b.refusals,
@@ -76,16 +78,24 @@
 	return err
 }
 
-// copyToPeer lets one peer hold the refusals in case this process goes.
+// copyToPeer lets one peer hold the refusals in case this process goes; it is
+// the same peer for as long as that is there.
 func (m *Member) copyToPeer(list []refusal.Refusal) {
-	random := rand.New(rand.NewPCG(1, uint64(len(m.settings.Instance))))
-	i, found := revision.Near(m.settings.Instance, m.peers(), random)
+	i, found := revision.Keeper(m.settings.Instance, m.peers())
 	if !found {
 		return
 	}
+	m.keeper.Store(&i)
 	_ = peer.Notify(m.pool, i.Peer, peer.MethodKeep, peer.KeepRefusals{Process: m.settings.Instance, Refusals: list})
 }
 
+// tellKeeper lets the peer forget what is written.
+func (m *Member) tellKeeper(ids []string) {
+	if i := m.keeper.Swap(nil); i != nil {
+		_ = peer.Notify(m.pool, i.Peer, peer.MethodWritten, peer.WrittenRefusals{Process: m.settings.Instance, IDs: ids})
+	}
+}
+
 func (m *Member) answerKeep(_ context.Context, k peer.KeepRefusals) (peer.Nothing, error) {
 	m.loop.Tell(func(time.Time) {
 		list := append(m.kept[k.Process], k.Refusals...)
@@ -96,12 +106,39 @@
 }
 
 func (m *Member) answerWritten(_ context.Context, w peer.WrittenRefusals) (peer.Nothing, error) {
-	m.loop.Tell(func(time.Time) { delete(m.kept, w.Process) })
+	m.loop.Tell(func(time.Time) { m.forgetKept(w.Process, w.IDs) })
 	return peer.Nothing{}, nil
 }
 
-// RefusalCounts returns how many refusals wait to be written and how many
-// were lost; the caller is on the control thread.
-func (m *Member) RefusalCounts() (pending, dropped int) {
-	return m.refusals.Pending(), m.refusals.Dropped()
+// forgetKept runs on the control thread.
+func (m *Member) forgetKept(process string, ids []string) {
+	m.kept[process] = lo.Reject(m.kept[process], func(r refusal.Refusal, _ int) bool { return lo.Contains(ids, r.ID) })
+	if len(m.kept[process]) == 0 {
+		delete(m.kept, process)
+	}
+}
+
+// inherit writes the refusals of processes that are no longer listed. Two
+// keepers may write the same ones; readers take each id once.
+func (m *Member) inherit(now time.Time) {
+	listed := lo.SliceToMap(m.Instances(), func(i target.Instance) (string, bool) { return i.ID, true })
+	gone := process.Ask(m.loop, func(time.Time) map[string][]refusal.Refusal {
+		return lo.PickBy(m.kept, func(id string, _ []refusal.Refusal) bool { return !listed[id] })
+	})
+	for id, list := range gone {
+		if err := m.writeBatch(id, pendingBatch{refusals: list}, now); err != nil {
+			continue
+		}
+		ids := lo.Map(list, func(r refusal.Refusal, _ int) string { return r.ID })
+		m.loop.Tell(func(time.Time) { m.forgetKept(id, ids) })
+	}
+}
+
+// RefusalCounts returns how many refusals wait to be written, how many were
+// lost, and how many are kept for peers; the caller is on the control thread.
+func (m *Member) RefusalCounts() (pending, dropped, kept int) {
+	for _, list := range m.kept {
+		kept += len(list)
+	}
+	return m.refusals.Pending(), m.refusals.Dropped(), kept
 }
--- a/internal/transport/operator/fleet.go
+++ b/internal/transport/operator/fleet.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"bluebellcrank/internal/protocol/peer"
 	"bluebellcrank/internal/protocol/platform"
 	"bluebellcrank/internal/state/config"
@@ -111,7 +113,7 @@
 	peer.Handle(mux, peer.MethodFiles, func(_ context.Context, r peer.FileRequest) (peer.FileReply, error) {
 		return pick(files, r.Digests), nil
 	})
-	server := peer.Serve(l, mux)
+	server := peer.Serve(l, mux, f.pool.Bytes())
 	told := map[string]int{}
 	for _, i := range f.instances {
 		if told[i.DataCentre] >= toldPerCentre {
@@ -190,6 +192,7 @@
 	for _, n := range most {
 		dropped += n
 	}
+	list = lo.UniqBy(list, func(r refusal.Refusal) string { return r.ID })
 	sort.Slice(list, func(i, j int) bool { return list[i].Time.Before(list[j].Time) })
 	return list, dropped, nil
 }
