--- a/cmd/standin/bench_test.go
+++ b/cmd/standin/bench_test.go
@@ -55,7 +55,7 @@
 
 // metric reads one value of a process's metrics.
 func metric(f *fleet, id, name string) float64 {
-	_, body, err := fasthttp.Get(nil, "http://"+f.operatorOf(id)+"/metrics")
+	_, body, err := fasthttp.Get(nil, "http://"+f.operators[id]+"/metrics")
 	if err != nil {
 		return 0
 	}
--- a/cmd/standin/fleet.go
+++ b/cmd/standin/fleet.go
@@ -259,9 +259,6 @@
 	}
 }
 
-// operatorOf is where a process serves its operators.
-func (f *fleet) operatorOf(id string) string { return f.operators[id] }
-
 // remove takes an instance off the list that is published next.
 func (f *fleet) remove(id string) {
 	f.mu.Lock()
