--- a/cmd/standin/bench_test.go
+++ b/cmd/standin/bench_test.go
@@ -26,6 +26,8 @@
 	benchSamples = 3000
 )
 
+func init() { raceFlag = "-race=false" }
+
 func row(t *testing.T, name string, value float64, unit, bound, verdict string) {
 	t.Logf("row | %s | %.4g | %s | %s | %s |", name, value, unit, bound, verdict)
 }
--- a/cmd/standin/fleet.go
+++ b/cmd/standin/fleet.go
@@ -212,6 +212,37 @@
 	return f.daemon(i.ID, f.agentTwin, append(args, extra...))
 }
 
+// addRankGroup starts a group of ranks and an agent beside each.
+func (f *fleet) addRankGroup(group string, ranks int, centre string, extra ...string) error {
+	args := []string{"rankgroup", "--log=" + f.runLog(group)}
+	first := len(f.instances)
+	for n := range ranks {
+		id := fmt.Sprintf("%s-%d", group, n)
+		f.targets[id] = freeAddress()
+		args = append(args, "--listen="+f.targets[id])
+		f.instances = append(f.instances, target.Instance{
+			ID: id, Role: target.Agent, Service: "advisor", DataCentre: centre,
+			Peer: freeAddress(), Traffic: freeAddress(), Group: group, Rank: n,
+		})
+	}
+	if err := f.start(group, f.standin, args...); err != nil {
+		return err
+	}
+	for _, i := range f.instances[first:] {
+		if err := f.startRank(i, ranks, extra...); err != nil {
+			return err
+		}
+		if err := f.relay(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fleet) startRank(i target.Instance, ranks int, extra ...string) error {
+	return f.startAgent(i, append([]string{"--group=" + i.Group, fmt.Sprintf("--rank=%d", i.Rank), fmt.Sprintf("--ranks=%d", ranks)}, extra...)...)
+}
+
 // daemon starts a daemon, or its twin with a guard switched off.
 func (f *fleet) daemon(name, guard string, args []string) error {
 	if guard == "" {
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -10,11 +10,12 @@
 )
 
 type commands struct {
-	Platform platformCmd `cmd:"" help:"Object API and instance list."`
-	Target   targetCmd   `cmd:"" help:"A model engine or a plain service."`
-	Relay    relayCmd    `cmd:"" help:"A TCP path that can be cut or go silent."`
-	Twin     twinCmd     `cmd:"" help:"A daemon with one guard switched off."`
-	Demo     demoCmd     `cmd:"" help:"Start a small fleet, send two requests, stop it."`
+	Platform  platformCmd  `cmd:"" help:"Object API and instance list."`
+	Target    targetCmd    `cmd:"" help:"A model engine or a plain service."`
+	Rankgroup rankGroupCmd `cmd:"" help:"All ranks of a group, in lock-step."`
+	Relay     relayCmd     `cmd:"" help:"A TCP path that can be cut or go silent."`
+	Twin      twinCmd      `cmd:"" help:"A daemon with one guard switched off."`
+	Demo      demoCmd      `cmd:"" help:"Start a small fleet, send two requests, stop it."`
 }
 
 func main() {
--- a/internal/coordination/membership/list.go
+++ b/internal/coordination/membership/list.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -116,7 +117,7 @@
 func hash(i target.Instance) uint64 {
 	var d xxhash.Digest
 	d.Reset()
-	for _, s := range [...]string{i.ID, string(i.Role), i.Service, i.DataCentre, i.Peer, i.Traffic} {
+	for _, s := range [...]string{i.ID, string(i.Role), i.Service, i.DataCentre, i.Peer, i.Traffic, i.Group, strconv.Itoa(i.Rank)} {
 		_, _ = d.WriteString(s)
 		_, _ = d.WriteString("\x00")
 	}
--- a/internal/coordination/switchover/rank.go
+++ b/internal/coordination/switchover/rank.go
@@ -96,6 +96,9 @@
 // Current returns the map in use and the step it is used from.
 func (r *Rank) Current() Change { return r.current }
 
+// Changes returns the maps of the granted steps, the last one in force.
+func (r *Rank) Changes() []Change { return append(slices.Clone(r.earlier), r.current) }
+
 // Prepared returns the change whose outcome is unknown; its version is 0
 // where there is none.
 func (r *Rank) Prepared() Change { return r.prepared }
--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -50,6 +50,10 @@
 	TargetLeaving    = declare(3005, hclog.Info, "target is leaving: refusing new work")
 	TargetDied       = declare(3006, hclog.Warn, "target died with a request in flight, which is now a suspect")
 	ClaimAbandoned   = declare(3101, hclog.Info, "claim marked as abandoned")
+	RankUnreached    = declare(3201, hclog.Warn, "rank's engine does not take an order")
+	LeaseTaken       = declare(3202, hclog.Info, "lease on the rank group taken")
+	LeaseLost        = declare(3203, hclog.Warn, "lease on the rank group lost")
+	MapChanged       = declare(3204, hclog.Info, "expert map changed")
 	ClaimPending     = declare(3102, hclog.Warn, "claim could not be marked as abandoned, trying again")
 )
 
--- a/internal/state/target/target.go
+++ b/internal/state/target/target.go
@@ -19,6 +19,8 @@
 	Peer       string `json:"peer-address"`
 	Traffic    string `json:"traffic-address"`
 	Leaving    bool   `json:"leaving"`
+	Group      string `json:"group,omitempty"`
+	Rank       int    `json:"rank,omitempty"`
 }
 
 // Report is what an agent says about its target.
--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -18,6 +18,7 @@
 	"bluebellcrank/internal/state/target"
 	"bluebellcrank/internal/transport/member"
 	"bluebellcrank/internal/transport/process"
+	"bluebellcrank/internal/transport/rankgroup"
 )
 
 const (
@@ -39,6 +40,7 @@
 	server   *fasthttp.Server
 	traffic  net.Listener
 	operator *process.Operator
+	group    *rankgroup.Group
 	metrics  *metrics.Set
 	guards   Guards
 	stop     chan struct{}
@@ -97,6 +99,9 @@
 	}
 	a.operator = process.NewOperator(operator, a.metrics, process.NewView(a.ready, a.dump))
 	member.Measure(a.metrics, a.member)
+	if s.Ranks.Group != "" {
+		a.group = rankgroup.Join(s.Ranks, s.Target, a.member, log)
+	}
 	a.member.Start()
 	go a.poll()
 	go a.watchConnection()
@@ -151,6 +156,9 @@
 func (a *Agent) Close() {
 	_ = a.traffic.Close()
 	close(a.stop)
+	if a.group != nil {
+		a.group.Close()
+	}
 	a.operator.Close()
 	a.member.Close()
 }
--- a/internal/transport/agent/methods.go
+++ b/internal/transport/agent/methods.go
@@ -10,6 +10,7 @@
 	"bluebellcrank/internal/state/refusal"
 	"bluebellcrank/internal/state/target"
 	"bluebellcrank/internal/transport/process"
+	"bluebellcrank/internal/transport/rankgroup"
 )
 
 // methods adds what peers can ask an agent.
@@ -24,6 +25,11 @@
 		a.member.Loop().Tell(func(time.Time) { a.confirm(r) })
 		return peer.Nothing{}, nil
 	})
+	if a.settings.Ranks.Group != "" {
+		peer.Handle(m, rankgroup.Method, func(ctx context.Context, c rankgroup.Call) (rankgroup.Reply, error) {
+			return a.group.Answer(ctx, c)
+		})
+	}
 	peer.Handle(m, peer.MethodSuspect, func(_ context.Context, s peer.Suspect) (peer.Nothing, error) {
 		a.member.Loop().Tell(func(now time.Time) {
 			a.suspects.Heard(s.Fingerprint, s.Deaths, time.Duration(s.AgeMs)*time.Millisecond, now)
--- a/internal/transport/agent/settings.go
+++ b/internal/transport/agent/settings.go
@@ -8,27 +8,29 @@
 	"time"
 
 	"bluebellcrank/internal/transport/process"
+	"bluebellcrank/internal/transport/rankgroup"
 )
 
 // Settings are what an instance tells its agent.
 type Settings struct {
 	process.Settings `embed:"" yaml:",inline"`
-	Service          string        `name:"service" yaml:"service" help:"Service that the target belongs to."`
-	Target           string        `name:"target" yaml:"target" help:"Address of the target (host:port)."`
-	LoadPath         string        `name:"load-path" yaml:"load-path" default:"/load" help:"Path of the target's load report."`
-	LoadEvery        time.Duration `name:"load-interval" yaml:"load-interval" default:"250ms" help:"Time between two load reports."`
-	TargetSilence    time.Duration `name:"target-silence" yaml:"target-silence" default:"60s" help:"How long a target may send nothing in the middle of a request."`
-	AnswerBytes      int           `name:"answer-bytes" yaml:"answer-bytes" default:"16777216" help:"Largest answer, in bytes."`
-	KeptBytes        int           `name:"kept-bytes" yaml:"kept-bytes" default:"67108864" help:"Bytes of answers kept at once."`
-	KeepKeyed        time.Duration `name:"keep-keyed" yaml:"keep-keyed" default:"10m" help:"How long an answer can be replayed by its idempotency key."`
-	KeepOther        time.Duration `name:"keep-other" yaml:"keep-other" default:"15s" help:"How long an unconfirmed answer is kept."`
+	Ranks            rankgroup.Settings `embed:"" yaml:",inline"`
+	Service          string             `name:"service" yaml:"service" help:"Service that the target belongs to."`
+	Target           string             `name:"target" yaml:"target" help:"Address of the target (host:port)."`
+	LoadPath         string             `name:"load-path" yaml:"load-path" default:"/load" help:"Path of the target's load report."`
+	LoadEvery        time.Duration      `name:"load-interval" yaml:"load-interval" default:"250ms" help:"Time between two load reports."`
+	TargetSilence    time.Duration      `name:"target-silence" yaml:"target-silence" default:"60s" help:"How long a target may send nothing in the middle of a request."`
+	AnswerBytes      int                `name:"answer-bytes" yaml:"answer-bytes" default:"16777216" help:"Largest answer, in bytes."`
+	KeptBytes        int                `name:"kept-bytes" yaml:"kept-bytes" default:"67108864" help:"Bytes of answers kept at once."`
+	KeepKeyed        time.Duration      `name:"keep-keyed" yaml:"keep-keyed" default:"10m" help:"How long an answer can be replayed by its idempotency key."`
+	KeepOther        time.Duration      `name:"keep-other" yaml:"keep-other" default:"15s" help:"How long an unconfirmed answer is kept."`
 }
 
 const maxKept = 1 << 40
 
 // Validate returns everything that is wrong with the settings.
 func (s *Settings) Validate() error {
-	errs := []error{s.Settings.Validate()}
+	errs := []error{s.Settings.Validate(), s.Ranks.Validate()}
 	fail := func(format string, args ...any) { errs = append(errs, fmt.Errorf(format, args...)) }
 	if s.Service == "" {
 		fail("service: is empty")
