Answers without a body, settings from a file, an operators' forecast; one way to start a daemon

Cause, each found by reading as a caller or an operator: - HEAD and 204 answers ended as "answer-lost": nothing carries trailers without a body; - a settings file was read and never applied, and the default instance id was refused before it was set, since the command-line library validates first; - a claim whose request could not be sent stayed held; - refusals of 490 entries at once would be 490 writes a second; - the two daemons and their twins started in three copies of the same code.

Ruled out: buffering every answer at the agent for the sake of HEAD; a second validation of our own behind the library's.

Change: proof of a bodyless answer in headers; the file as a resolver by the flag's value, unknown keys named at once; abandon after "not sent"; batches of refusals spaced by the number of processes; process.Listeners and one serve; `forecast FOLDER`; a measurement of data centre moves for `make bench`.

--- a/cmd/bluebellcrank/agent.go
+++ b/cmd/bluebellcrank/agent.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"net"
-
 	"github.com/hashicorp/go-hclog"
 
 	"bluebellcrank/internal/transport/agent"
@@ -19,9 +17,8 @@
 `
 
 type agentCmd struct {
-	File          settingsFile   `name:"settings" help:"YAML file of settings." placeholder:"FILE"`
-	PrintSettings bool           `help:"Print the settings in force and stop."`
-	Daemon        agent.Settings `embed:""`
+	daemonFlags `embed:""`
+	Daemon      agent.Settings `embed:""`
 }
 
 // Help implements kong.HelpProvider.
@@ -29,19 +26,7 @@
 
 // Run implements the subcommand.
 func (c *agentCmd) Run() error {
-	s := &c.Daemon
-	s.Defaults()
-	if err := s.Validate(); err != nil {
-		return err
-	}
-	if c.PrintSettings {
-		return printSettings(s)
-	}
-	l, err := listeners(s.PeerListen, s.TrafficListen, s.OperatorListen)
-	if err != nil {
-		return err
-	}
-	return runDaemon(s.Settings, l, func(log hclog.Logger, l []net.Listener) process.Daemon {
-		return agent.New(*s, agent.DefaultGuards(), log, l[0], l[1], l[2])
+	return c.serve(&c.Daemon, &c.Daemon.Settings, func(log hclog.Logger, l process.Listeners) process.Daemon {
+		return agent.New(c.Daemon, agent.DefaultGuards(), log, l)
 	})
 }
--- a/cmd/bluebellcrank/main.go
+++ b/cmd/bluebellcrank/main.go
@@ -41,6 +41,7 @@
 	Refusals refusalsCmd `cmd:"" help:"List who was turned away, and why."`
 	Explain  explainCmd  `cmd:"" help:"Explain one refusal."`
 	Dump     dumpCmd     `cmd:"" help:"Print the state of one process."`
+	Forecast forecastCmd `cmd:"" help:"Play a folder in virtual time."`
 	Key      keyCmd      `cmd:"" help:"Print the digest of an API key read from standard input."`
 }
 
--- a/cmd/standin/target.go
+++ b/cmd/standin/target.go
@@ -173,6 +173,11 @@
 	}
 	ctx.Response.Header.Set("X-Request-Id", id)
 	time.Sleep(time.Duration(f.HangMs) * time.Millisecond)
+	if string(ctx.Path()) == "/empty" {
+		defer t.end()
+		ctx.SetStatusCode(fasthttp.StatusNoContent)
+		return
+	}
 	if !t.cmd.Engine {
 		defer t.end()
 		time.Sleep(t.cmd.Token)
--- a/internal/coordination/forecast/play.go
+++ b/internal/coordination/forecast/play.go
@@ -72,6 +72,18 @@
 	return p
 }
 
+// WithAccounts returns the plan with so many client accounts.
+func (p Plan) WithAccounts(n int) Plan {
+	p.accounts = max(n, 1)
+	return p
+}
+
+// WithTime returns the plan with another length and seed.
+func (p Plan) WithTime(d time.Duration, seed uint64) Plan {
+	p.duration, p.seed = d, seed
+	return p
+}
+
 // WithRate returns the plan with so many requests a second.
 func (p Plan) WithRate(rate float64) Plan {
 	p.rate = rate
@@ -98,6 +110,16 @@
 	return p
 }
 
+// overload is far over what any engine of the model bears, a second.
+const overload = 15
+
+// Bears returns the answers a second that a plan's targets give when they are
+// warm and offered far too much.
+func Bears(p Plan) float64 {
+	o := Play(p.WithRate(overload * float64(p.engines)))
+	return o.Goodput(p.duration/4, p.duration)
+}
+
 // Outcome is what a forecast found.
 type Outcome struct {
 	first    *hdrhistogram.Histogram
--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -64,12 +64,12 @@
 }
 
 // New starts an agent on its listeners.
-func New(s Settings, g Guards, log hclog.Logger, peerListener, traffic, operator net.Listener) *Agent {
+func New(s Settings, g Guards, log hclog.Logger, l process.Listeners) *Agent {
 	a := &Agent{
 		settings: s,
 		log:      log,
 		client:   attempt.NewClient(s.TargetSilence),
-		traffic:  traffic,
+		traffic:  l.Traffic,
 		metrics:  metrics.NewSet(),
 		guards:   g,
 		stop:     make(chan struct{}),
@@ -80,7 +80,7 @@
 		closed:   map[string]closedAttempt{},
 		suspects: retry.NewSuspects(),
 	}
-	options := member.NewOptions(s.Settings, target.Agent, log, peerListener).
+	options := member.NewOptions(s.Settings, target.Agent, log, l.Peer).
 		WithHooks(a.configure, a.list).
 		WithViews(a.status, a.dump).
 		WithNewer(g.Newer).
@@ -97,7 +97,7 @@
 		CloseOnShutdown:       true,
 		Logger:                quiet{},
 	}
-	a.operator = process.NewOperator(operator, a.metrics, process.NewView(a.ready, a.dump))
+	a.operator = process.NewOperator(l.Operator, a.metrics, process.NewView(a.ready, a.dump))
 	member.Measure(a.metrics, a.member)
 	if s.Ranks.Group != "" {
 		a.group = rankgroup.Join(s.Ranks, s.Target, a.member, log)
@@ -107,11 +107,11 @@
 	go a.watchConnection()
 	go process.Every(tickEvery, a.stop, func(time.Time) { a.member.Loop().Tell(a.tick) })
 	go func() {
-		if err := a.server.Serve(traffic); err != nil {
+		if err := a.server.Serve(l.Traffic); err != nil {
 			event.ListenerFailed.Log(log, "error", err)
 		}
 	}()
-	event.ProcessStarted.Log(log, "role", target.Agent, "traffic", traffic.Addr().String(), "peer", a.member.Address(), "target", s.Target)
+	event.ProcessStarted.Log(log, "role", target.Agent, "traffic", l.Traffic.Addr().String(), "peer", a.member.Address(), "target", s.Target)
 	return a
 }
 
--- a/internal/transport/agent/job.go
+++ b/internal/transport/agent/job.go
@@ -65,6 +65,12 @@
 // keyed reports whether the request may run at most once.
 func (j *job) keyed() bool { return j.envelope.Key() != "" }
 
+// bodyless reports whether an answer has no body whatever its headers say
+// (RFC 9110, section 6.4.1).
+func (j *job) bodyless(status int) bool {
+	return j.request.Header.IsHead() || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
+
 // digest tells the request from another one under the same key.
 func (j *job) digest() string {
 	return claim.RequestDigest(string(j.request.Header.Method()), string(j.request.RequestURI()), j.request.Body())
--- a/internal/transport/agent/run.go
+++ b/internal/transport/agent/run.go
@@ -10,6 +10,7 @@
 
 	"bluebellcrank/internal/protocol/attempt"
 	"bluebellcrank/internal/protocol/engine"
+	"bluebellcrank/internal/transport/process"
 )
 
 const (
@@ -34,7 +35,13 @@
 	if r.broken != nil {
 		r.died = a.probeDied(j)
 	}
-	a.member.Loop().Tell(func(now time.Time) { a.end(j, r, now) })
+	process.Ask(a.member.Loop(), func(now time.Time) struct{} {
+		a.end(j, r, now)
+		return struct{}{}
+	})
+	if r.notSent {
+		a.abandonIfClaimed(j)
+	}
 }
 
 func (a *Agent) exchange(j *job) runResult {
@@ -92,7 +99,7 @@
 	if !a.guards.OwnAnswer(own) {
 		return fmt.Errorf("%w: %q", errCrossed, echo)
 	}
-	if resp.Header.ContentLength() == identityBody {
+	if resp.Header.ContentLength() == identityBody && !j.bodyless(resp.StatusCode()) {
 		return errNoLength
 	}
 	return nil
--- a/internal/transport/agent/serve.go
+++ b/internal/transport/agent/serve.go
@@ -112,19 +112,28 @@
 	}
 	resp.Header.Set(attempt.HeaderOutcome, attempt.OutcomeAnswer)
 	resp.Header.Set(attempt.HeaderAttempt, j.envelope.Attempt())
+	if j.bodyless(head.Status) {
+		<-j.settled
+		writeProof(&resp.Header, j.answer.Proof())
+		return
+	}
 	_ = resp.Header.AddTrailer(attempt.TrailerLength)
 	_ = resp.Header.AddTrailer(attempt.TrailerDigest)
 	a.member.Loop().Tell(func(time.Time) { a.open(j) })
-	body := j.answer.Reader(offset, func(p attempt.Proof) {
-		resp.Header.Set(attempt.TrailerLength, p.LengthText())
-		resp.Header.Set(attempt.TrailerDigest, p.DigestText())
-	})
+	body := j.answer.Reader(offset, func(p attempt.Proof) { writeProof(&resp.Header, p) })
 	resp.ImmediateHeaderFlush = true
 	resp.SetBodyStream(&closing{ReadCloser: body, then: func() {
 		a.member.Loop().Tell(func(time.Time) { a.release(j) })
 	}}, -1)
 }
 
+// writeProof tells an entry what a whole answer is, in trailers or, where
+// there is no body to follow, in headers.
+func writeProof(h *fasthttp.ResponseHeader, p attempt.Proof) {
+	h.Set(attempt.TrailerLength, p.LengthText())
+	h.Set(attempt.TrailerDigest, p.DigestText())
+}
+
 // whyNoAnswer is the refusal of a job that ended before its answer began.
 func (a *Agent) whyNoAnswer(j *job) refusal.Refusal {
 	return process.Ask(a.member.Loop(), func(time.Time) refusal.Refusal {
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -68,7 +67,7 @@
 }
 
 // New starts an entry on its listeners.
-func New(s Settings, g Guards, log hclog.Logger, peerListener, traffic, operator net.Listener) *Entry {
+func New(s Settings, g Guards, log hclog.Logger, l process.Listeners) *Entry {
 	set := metrics.NewSet()
 	e := &Entry{
 		settings: s,
@@ -83,7 +82,7 @@
 		watchers: map[string]*watcher{},
 	}
 	e.table.Store(newTable())
-	options := member.NewOptions(s.Settings, target.Entry, log, peerListener).
+	options := member.NewOptions(s.Settings, target.Entry, log, l.Peer).
 		WithHooks(e.configure, e.list).
 		WithViews(e.status, e.dump).
 		WithNewer(g.Newer).
@@ -99,16 +98,16 @@
 		DisablePreParseMultipartForm: true,
 	})
 	e.app.Use(e.serve)
-	e.operator = process.NewOperator(operator, set, process.NewView(e.ready, e.dump))
+	e.operator = process.NewOperator(l.Operator, set, process.NewView(e.ready, e.dump))
 	member.Measure(e.metrics, e.member)
 	e.member.Start()
 	go func() {
-		l := process.SlowWriters(traffic, s.WriteTimeout)
-		if err := e.app.Listener(l, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
+		slow := process.SlowWriters(l.Traffic, s.WriteTimeout)
+		if err := e.app.Listener(slow, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
 			event.ListenerFailed.Log(log, "error", err)
 		}
 	}()
-	event.ProcessStarted.Log(log, "role", target.Entry, "traffic", traffic.Addr().String(), "peer", e.member.Address())
+	event.ProcessStarted.Log(log, "role", target.Entry, "traffic", l.Traffic.Addr().String(), "peer", e.member.Address())
 	return e
 }
 
--- a/internal/transport/member/member.go
+++ b/internal/transport/member/member.go
@@ -48,6 +48,7 @@
 	refusals *refusal.Log
 	kept     map[string][]refusal.Refusal
 	keeper   atomic.Pointer[target.Instance]
+	saved    atomic.Int64 // when the last batch went out, in Unix nanoseconds
 	serial   atomic.Uint64
 
 	adopting sync.Mutex
@@ -172,8 +173,9 @@
 
 // Close leaves the fleet; what refusals are left is written first.
 func (m *Member) Close() {
-	m.saveRefusals(time.Now())
 	close(m.stop)
+	m.saved.Store(0)
+	m.saveRefusals(time.Now())
 	m.server.Close()
 	m.pool.Close()
 	m.loop.Close()
--- a/internal/transport/member/refusals.go
+++ b/internal/transport/member/refusals.go
@@ -22,6 +22,8 @@
 	RefusalPrefix = "refusals/"
 	// refusalBatch is how many refusals go into one object.
 	refusalBatch = 1000
+	// savePerProcess is the part of a second that each process adds.
+	savePerProcess = 10 * time.Millisecond
 	// keptPerPeer bounds what a process keeps for each peer.
 	keptPerPeer = 1000
 	dayFormat   = "2006-01-02"
@@ -50,9 +52,10 @@
 		return pendingBatch{refusals: m.refusals.Batch(refusalBatch), dropped: m.refusals.Dropped()}
 	})
 	m.inherit(now)
-	if len(batch.refusals) == 0 {
+	if len(batch.refusals) == 0 || now.Sub(time.Unix(0, m.saved.Load())) < m.savePause() {
 		return
 	}
+	m.saved.Store(now.UnixNano())
 	if err := m.writeBatch(m.settings.Instance, batch, now); err != nil {
 		event.RefusalsUnsaved.Log(m.log, "count", len(batch.refusals), "error", err)
 		m.copyToPeer(batch.refusals)
@@ -63,6 +66,13 @@
 	m.tellKeeper(ids)
 }
 
+// savePause keeps the writes of all processes of a role within a hundred a
+// second: the more there are, the longer each one gathers.
+func (m *Member) savePause() time.Duration {
+	n := lo.CountBy(m.Instances(), func(i target.Instance) bool { return i.Role == m.role })
+	return time.Duration(n) * savePerProcess
+}
+
 func (m *Member) writeBatch(of string, b pendingBatch, now time.Time) error {
 	value, err := json.Marshal(refusal.Batched{
 		Process:  of,
--- a/internal/transport/process/settings.go
+++ b/internal/transport/process/settings.go
@@ -35,6 +35,39 @@
 	maxRefusals = 1_000_000
 )
 
+// Listen opens the sockets for peers, traffic and operators, or none.
+func (s *Settings) Listen() (Listeners, error) {
+	var l Listeners
+	for _, o := range []struct {
+		address string
+		into    *net.Listener
+	}{{s.PeerListen, &l.Peer}, {s.TrafficListen, &l.Traffic}, {s.OperatorListen, &l.Operator}} {
+		opened, err := net.Listen("tcp", o.address)
+		if err != nil {
+			l.Close()
+			return Listeners{}, err
+		}
+		*o.into = opened
+	}
+	return l, nil
+}
+
+// Listeners are a daemon's sockets.
+type Listeners struct {
+	Peer     net.Listener
+	Traffic  net.Listener
+	Operator net.Listener
+}
+
+// Close closes the sockets that are open.
+func (l Listeners) Close() {
+	for _, o := range []net.Listener{l.Peer, l.Traffic, l.Operator} {
+		if o != nil {
+			_ = o.Close()
+		}
+	}
+}
+
 // Defaults sets what depends on the instance.
 func (s *Settings) Defaults() {
 	if s.Instance == "" {
@@ -42,6 +75,13 @@
 	}
 }
 
+// BeforeApply sets the defaults before the command-line library puts in what
+// the operators gave; it calls Validate itself after that.
+func (s *Settings) BeforeApply() error {
+	s.Defaults()
+	return nil
+}
+
 // Validate returns everything that is wrong with the settings.
 func (s *Settings) Validate() error {
 	var errs []error
