--- a/cmd/standin/chaos_test.go
+++ b/cmd/standin/chaos_test.go
@@ -200,11 +200,12 @@
 
 func judge(f *fleet, o *outcomes) violations {
 	var v violations
-	rings := map[string]int{}
+	rings, ran := map[string]int{}, map[string]bool{}
 	byID := map[string]bool{}
 	for _, id := range []string{"bells-1", "bells-2", "bells-3", "advisor-1", "advisor-2"} {
 		for _, r := range f.runs(id) {
 			byID[r.ID] = true
+			ran[r.Token] = true
 			if r.Path == "/ring" {
 				rings[r.Token]++
 			}
@@ -222,7 +223,7 @@
 			mayHaveRun[x.token] = true
 		}
 	}
-	for token := range rings {
+	for token := range ran {
 		if !mayHaveRun[token] && token != "" {
 			v.untrue = append(v.untrue, token+": every answer said not-run, and it ran")
 		}
--- a/cmd/standin/rankgroup_test.go
+++ b/cmd/standin/rankgroup_test.go
@@ -17,6 +17,7 @@
 	groupRanks  = 4
 	groupFaults = 6
 	decideOften = "--decide-interval=200ms"
+	shortLease  = "--lease-period=3s"
 	pastLease   = 4 * time.Second
 )
 
@@ -44,7 +45,7 @@
 func groupFleet(t *testing.T) *fleet {
 	f := testFleet(t)
 	f.viaRelay = true
-	must(t, f.addRankGroup("flags", groupRanks, "east", decideOften), f.publish())
+	must(t, f.addRankGroup("flags", groupRanks, "east", decideOften, shortLease), f.publish())
 	push(t, f, map[string]string{"10.yaml": withKey(testConfig)})
 	must(t, waitFor(func() bool { _, maps, _ := stepLog(f, "flags"); return len(maps) > 1 }, "the first change"))
 	return f
@@ -63,7 +64,7 @@
 	case 0:
 		t.Logf("kill agent %s", id)
 		f.proc(id).kill()
-		must(t, f.startRank(f.instance(id), groupRanks, decideOften))
+		must(t, f.startRank(f.instance(id), groupRanks, decideOften, shortLease))
 	case 1:
 		t.Logf("pause agent %s past the lease", id)
 		f.proc(id).signal(syscall.SIGSTOP)
@@ -74,9 +75,9 @@
 		f.proc(id).kill()
 		if id != "flags-0" {
 			f.proc("flags-0").kill()
-			must(t, f.startRank(f.instance("flags-0"), groupRanks, decideOften))
+			must(t, f.startRank(f.instance("flags-0"), groupRanks, decideOften, shortLease))
 		}
-		must(t, f.startRank(f.instance(id), groupRanks, decideOften))
+		must(t, f.startRank(f.instance(id), groupRanks, decideOften, shortLease))
 	case 3:
 		t.Log("platform down")
 		must(t, f.post("http://"+f.platform+"/faults", platformFaults{Down: true}))
--- a/internal/coordination/forecast/forecast_test.go
+++ b/internal/coordination/forecast/forecast_test.go
@@ -98,6 +98,27 @@
 	}
 }
 
+// What old reports cost: as many entries share an engine as at the letter's
+// size, where an entry's own sends say little about it. With 32 targets of each
+// of three services, reports within their bytes a second are five seconds old;
+// with 64, ten, which is why 32 is the default.
+func TestMeasureOldReports(t *testing.T) {
+	var p Plan
+	p.Defaults()
+	p = p.WithModel(p.model, 32).WithAccounts(40).WithTime(time.Minute, 1)
+	p.entries = 14
+	rate := 0.8 * Bears(p)
+	for _, age := range []time.Duration{200 * time.Millisecond, 2 * time.Second, 5 * time.Second, 10 * time.Second} {
+		p.reportAge = age
+		o := Play(p.WithRate(rate))
+		bound := func(s string) string { return lo.Ternary(age <= 5*time.Second, s, "") }
+		name := "reports " + age.String() + " old, 14 entries at 80%: "
+		row(t, name+"first token p95", ms(o.First(0.95)), "ms", bound("<= 400"), o.First(0.95) <= 400*time.Millisecond)
+		row(t, name+"between tokens p95", ms(o.Between(0.95)), "ms", bound("<= 71"), o.Between(0.95) <= 71*time.Millisecond)
+		row(t, name+"tries a request", o.TriesPerRequest(), "tries", "", true)
+	}
+}
+
 func TestMeasureOverload(t *testing.T) {
 	var p Plan
 	p.Defaults()
--- /dev/null
+++ b/internal/state/config/measure_test.go
@@ -0,0 +1,42 @@
+//go:build bench
+
+package config
+
+import (
+	"runtime"
+	"testing"
+	"time"
+)
+
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// TestMeasureAccounts gives memory and time of client accounts.
+func TestMeasureAccounts(t *testing.T) {
+	for _, accounts := range []int{1000, 6500, 26000} {
+		files := accountFiles(accounts, 500)
+		before := heap()
+		b := NewBuilder()
+		c, err := b.Build(Head{}, files)
+		if err != nil {
+			t.Fatal(err)
+		}
+		after := heap()
+		began := time.Now()
+		changed := append([]File(nil), files...)
+		changed[1].Content = append([]byte("# changed\n"), changed[1].Content...)
+		if _, err := b.Build(Head{}, changed); err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("row | configuration of %d accounts, memory | %.4g | MB | - | - |", accounts, (after-before)/1e6)
+		t.Logf("row | configuration of %d accounts, memory | %.4g | B an account | - | - |", accounts, (after-before)/float64(accounts))
+		t.Logf("row | configuration of %d accounts, one file of 500 changed | %.4g | ms | - | - |", accounts, float64(time.Since(began).Microseconds())/1000)
+		runtime.KeepAlive(c)
+		runtime.KeepAlive(b)
+	}
+}
--- a/internal/transport/agent/control.go
+++ b/internal/transport/agent/control.go
@@ -1,14 +1,12 @@
 package agent
 
 import (
-	"errors"
 	"math"
 	"time"
 
 	"bluebellcrank/internal/coordination/admission"
 	"bluebellcrank/internal/coordination/retry"
 	"bluebellcrank/internal/state/config"
-	"bluebellcrank/internal/state/event"
 	"bluebellcrank/internal/state/refusal"
 	"bluebellcrank/internal/state/target"
 )
@@ -219,9 +217,6 @@
 	return ""
 }
 
-// errCancelled ends an answer that its caller no longer wants.
-var errCancelled = errors.New("agent: cancelled by the entry")
-
 // overAfterRestart reports whether the target may have been restarted since
 // the job was granted, and has no room for it as a cold one.
 func (a *Agent) overAfterRestart() bool {
@@ -232,115 +227,6 @@
 	return a.gate.Running() > a.limit()
 }
 
-// runResult is how a run at the target ended.
-type runResult struct {
-	notSent   bool
-	broken    error
-	died      bool
-	cancelled bool
-	latency   time.Duration
-}
-
-// end takes a run that is over.
-func (a *Agent) end(j *job, r runResult, now time.Time) {
-	switch {
-	case r.notSent:
-		a.warmth.Failed()
-		j.refuse(refusal.Refusal{Reason: refusal.TargetDown, Effect: refusal.NotRun}, now)
-	case r.broken != nil:
-		a.warmth.Failed()
-		j.phase = ended
-		j.finished = now
-		if r.died {
-			j.deaths = a.suspects.Died(j.fingerprint, now)
-			event.TargetDied.Log(a.log, "attempt", j.envelope.Attempt(), "deaths", j.deaths)
-		}
-		j.answer.End(r.broken)
-		close(j.settled)
-	case r.cancelled:
-		j.phase = ended
-		j.finished = now
-		j.done = true
-		j.answer.End(errCancelled)
-		close(j.settled)
-	default:
-		a.warmth.Completed(j.cost, r.latency)
-		a.gate.SetMean(a.meanOf(now.Sub(j.begun) / time.Duration(j.cost)))
-		j.phase = ended
-		j.finished = now
-		j.answer.End(nil)
-		close(j.settled)
-	}
-	a.kept += j.answer.Bytes()
-	a.free(j, now)
-}
-
-// meanOf follows how long a unit stays at the target.
-func (a *Agent) meanOf(sample time.Duration) time.Duration {
-	const weight = 8
-	mean := a.gate.Mean()
-	if mean == 0 {
-		return sample
-	}
-	return mean + (sample-mean)/weight
-}
-
-// tick keeps time: deadlines at the gate, hung requests, answers to forget.
-func (a *Agent) tick(now time.Time) {
-	for _, j := range a.jobs {
-		if j.phase == running && a.waitsForFirstByte(j) {
-			a.warmth.Overdue(now.Sub(j.begun))
-		}
-	}
-	a.logWarmth()
-	a.next(now)
-	a.forget(now)
-}
-
-func (a *Agent) waitsForFirstByte(j *job) bool {
-	n, _, _ := j.answer.State()
-	return n == 0
-}
-
-func (a *Agent) logWarmth() {
-	b := a.warmth.IsWarm()
-	if b == a.wasWarm {
-		return
-	}
-	a.wasWarm = b
-	e := event.TargetCold
-	if b {
-		e = event.TargetWarm
-	}
-	e.Log(a.log, "limit", a.warmth.Limit())
-}
-
-// forget drops answers that nobody needs any more.
-func (a *Agent) forget(now time.Time) {
-	for id, j := range a.jobs {
-		if j.phase != ended && j.phase != refused {
-			continue
-		}
-		keep := a.settings.KeepOther
-		if j.keyed() {
-			keep = a.settings.KeepKeyed
-		}
-		if j.readers > 0 || now.Sub(j.finished) < keep && !(j.done && !j.keyed()) {
-			continue
-		}
-		if j.phase == ended {
-			a.kept -= j.answer.Bytes()
-		}
-		delete(a.jobs, id)
-		a.closed[id] = closedAttempt{at: now, ran: j.phase == ended}
-	}
-	for id, c := range a.closed {
-		if now.Sub(c.at) > closedFor {
-			delete(a.closed, id)
-		}
-	}
-}
-
 // publish puts the present report where traffic and peers read it.
 func (a *Agent) publish(now time.Time) {
 	r := target.Report{
--- a/internal/transport/agent/job.go
+++ b/internal/transport/agent/job.go
@@ -87,6 +87,14 @@
 	j.answer.End(attempt.ErrBroken)
 }
 
+// settle ends a job that ran: with a whole answer for a nil error.
+func (j *job) settle(err error, now time.Time) {
+	j.phase = ended
+	j.finished = now
+	j.answer.End(err)
+	close(j.settled)
+}
+
 // idle reports whether a stop need not wait for the job: it has ended, and
 // its answer was delivered or nobody has come for it.
 func (j *job) idle(now time.Time, patience time.Duration) bool {
--- a/internal/transport/entry/dispatch.go
+++ b/internal/transport/entry/dispatch.go
@@ -73,6 +73,10 @@
 		if candidate == nil {
 			break
 		}
+		if !time.Now().Before(c.deadline) {
+			last = c.refuse(refusal.TimedOut, refusal.NotRun, "the deadline passed before a target took the request")
+			break
+		}
 		t := e.try(c, candidate)
 		switch t.verdict {
 		case answered:
@@ -83,7 +87,7 @@
 			t.refusal = c.refuse(refusal.AnswerLost, e.guards.Effect(refusal.Unknown), err.Error())
 			t.refusal.Attempt = t.attempt
 		case final:
-			return nil, t.refusal
+			return nil, e.conclude(c, t.refusal, uncertain)
 		}
 		last = t.refusal
 		if t.verdict == elsewhere {
@@ -97,7 +101,8 @@
 	return nil, e.conclude(c, last, uncertain)
 }
 
-// conclude is the refusal of a call that no target answered.
+// conclude is the refusal of a call that no target answered. Whatever the last
+// try says of itself, a call with an uncertain one among its tries may have run.
 func (e *Entry) conclude(c *call, last *refusal.Refusal, uncertain bool) *refusal.Refusal {
 	if refused := e.screen(c); refused != nil && !uncertain {
 		return refused
--- a/internal/transport/entry/settings.go
+++ b/internal/transport/entry/settings.go
@@ -11,7 +11,7 @@
 // Settings are what an instance tells its entry.
 type Settings struct {
 	process.Settings `embed:"" yaml:",inline"`
-	SubsetSize       int           `name:"subset-size" yaml:"subset-size" default:"64" help:"Targets of one service that this entry uses."`
+	SubsetSize       int           `name:"subset-size" yaml:"subset-size" default:"32" help:"Targets of one service that this entry uses."`
 	ReportEvery      time.Duration `name:"report-interval" yaml:"report-interval" default:"200ms" help:"Shortest time between two reports of one target."`
 	ReportBytes      int           `name:"report-bytes" yaml:"report-bytes" default:"9000" help:"Bytes a second that reports may take; a larger subset is asked less often."`
 	AgentSilence     time.Duration `name:"agent-silence" yaml:"agent-silence" default:"1s" help:"Silence of an agent after which a fresh connection asks how far the attempt is."`
--- a/internal/transport/rankgroup/coordinator.go
+++ b/internal/transport/rankgroup/coordinator.go
@@ -16,12 +16,15 @@
 )
 
 const (
-	// leasePeriod is how long a lease stands without being renewed; ranks
-	// wait longer the higher their number, so that one asks first.
-	leasePeriod  = 3 * time.Second
+	// standbys is how many ranks can hold the lease: a group whose first
+	// agents are all gone is granted no steps anyway.
+	standbys = 3
+	// leaseStagger makes ranks wait longer the higher their number, so that
+	// one asks first.
 	leaseStagger = 300 * time.Millisecond
-	renewEvery   = time.Second
-	workEvery    = 50 * time.Millisecond
+	// leaseLooks is how often in a lease it is renewed or looked at.
+	leaseLooks = 3
+	workEvery  = 50 * time.Millisecond
 	// abortFor is how long an abort is sent again.
 	abortFor = 500 * time.Millisecond
 	// lead is how many steps ahead a change begins.
@@ -57,7 +60,7 @@
 	version  platform.Version
 	seen     platform.Version
 	since    time.Time
-	renewed  time.Time
+	looked   time.Time
 	machine  *switchover.Coordinator
 	fence    platform.Version
 	proposed int64
@@ -91,21 +94,23 @@
 // tend takes, renews or gives up the lease. While the platform is down the
 // holder goes on; the fencing number keeps two holders apart.
 func (c *coordinator) tend(now time.Time) {
+	if now.Sub(c.looked) < c.group.settings.LeaseFor/leaseLooks {
+		return
+	}
+	c.looked = now
 	if c.held {
-		if now.Sub(c.renewed) >= renewEvery {
-			c.renew(now)
-		}
+		c.renew(now)
 		return
 	}
 	o, err := c.group.member.Platform().Get(c.key())
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
-		c.take(platform.Absent, now)
+		c.take(platform.Absent)
 	case err != nil:
 	case o.Version != c.seen:
 		c.seen, c.since = o.Version, now
-	case now.Sub(c.since) > leasePeriod+time.Duration(c.group.settings.Rank)*leaseStagger:
-		c.take(o.Version, now)
+	case now.Sub(c.since) > c.group.settings.LeaseFor+time.Duration(c.group.settings.Rank)*leaseStagger:
+		c.take(o.Version)
 	}
 }
 
@@ -117,12 +122,12 @@
 	return c.group.member.Platform().Put(c.key(), value, expected)
 }
 
-func (c *coordinator) take(expected platform.Version, now time.Time) {
+func (c *coordinator) take(expected platform.Version) {
 	v, err := c.write(expected)
 	if err != nil {
 		return
 	}
-	c.held, c.version, c.renewed = true, v, now
+	c.held, c.version = true, v
 	c.fence, c.proposed = v, 0
 	c.machine = switchover.NewCoordinator(int64(v), c.group.settings.Ranks)
 	c.current, c.next = nil, nil
@@ -137,7 +142,7 @@
 		c.seen, c.since = 0, now
 		event.LeaseLost.Log(c.group.log, "group", c.group.settings.Group)
 	case err == nil:
-		c.version, c.renewed = v, now
+		c.version = v
 	}
 }
 
--- a/internal/transport/rankgroup/rank.go
+++ b/internal/transport/rankgroup/rank.go
@@ -33,6 +33,7 @@
 	Group       string        `name:"group" yaml:"group" help:"Rank group of the target, if it is a rank."`
 	Rank        int           `name:"rank" yaml:"rank" help:"Number of the rank in its group, from 0."`
 	Ranks       int           `name:"ranks" yaml:"ranks" help:"Number of ranks in the group."`
+	LeaseFor    time.Duration `name:"lease-period" yaml:"lease-period" default:"10s" help:"How long the group's lease stands without being renewed."`
 	DecideEvery time.Duration `name:"decide-interval" yaml:"decide-interval" default:"1m" help:"Time between two decisions on the group's expert map."`
 }
 
@@ -44,6 +45,9 @@
 	if s.Ranks < 1 || s.Rank < 0 || s.Rank >= s.Ranks {
 		return errors.New("rank: is not from 0 to ranks - 1")
 	}
+	if s.LeaseFor < time.Second || s.DecideEvery <= 0 {
+		return errors.New("lease-period: is under one second, or decide-interval not over zero")
+	}
 	return nil
 }
 
@@ -83,7 +87,9 @@
 	g := &Group{settings: s, address: address, member: m, log: log, stop: make(chan struct{})}
 	go process.Every(grantEvery, g.stop, func(time.Time) { g.grant() })
 	go process.Every(resendEvery, g.stop, func(time.Time) { g.resend() })
-	go newCoordinator(g).work()
+	if s.Rank < standbys {
+		go newCoordinator(g).work()
+	}
 	return g
 }
 
