--- a/cmd/standin/fleet.go
+++ b/cmd/standin/fleet.go
@@ -26,34 +26,6 @@
 	pollPause    = 20 * time.Millisecond
 )
 
-// proc is one process that this program started.
-type proc struct {
-	name string
-	cmd  *exec.Cmd
-	log  string
-	done chan struct{}
-}
-
-func (p *proc) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
-
-// kill ends the process without a chance to act.
-func (p *proc) kill() {
-	p.signal(syscall.SIGKILL)
-	<-p.done
-}
-
-// stop asks for a graceful end and returns whether it came in time.
-func (p *proc) stop() bool {
-	p.signal(syscall.SIGTERM)
-	select {
-	case <-p.done:
-		return true
-	case <-time.After(stopTimeout):
-		p.kill()
-		return false
-	}
-}
-
 // fleet is a platform, targets, agents and entries as separate processes on
 // loopback.
 type fleet struct {
@@ -373,62 +345,3 @@
 		<-p.done
 	}
 }
-
-// demoKey is the API key of the account that demos and tests use.
-const demoKey = "demo-key"
-
-// reply is what a caller got.
-type reply struct {
-	status  int
-	body    string
-	effect  string
-	reason  string
-	id      string
-	attempt string
-	broken  error
-}
-
-// send is a caller: one request to an entry, and all of the answer.
-func (f *fleet) send(entry, method, path, body string, headers map[string]string) (reply, error) {
-	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
-	req.Header.SetMethod(method)
-	req.SetRequestURI("http://" + f.instance(entry).Traffic + path)
-	req.Header.Set("X-Api-Key", demoKey)
-	req.SetConnectionClose()
-	for k, v := range headers {
-		req.Header.Set(k, v)
-	}
-	req.SetBodyString(body)
-	err := f.client.Do(req, resp)
-	r := reply{
-		status: resp.StatusCode(),
-		body:   string(resp.Body()),
-		effect: string(resp.Header.Peek("Request-Effect")),
-		reason: string(resp.Header.Peek("Refusal-Reason")),
-		id:     string(resp.Header.Peek("Refusal-Id")),
-		broken: err,
-	}
-	var p struct {
-		Attempt string `json:"attempt"`
-	}
-	if r.effect != "" && json.Unmarshal(resp.Body(), &p) == nil {
-		r.attempt = p.Attempt
-	}
-	return r, err
-}
-
-// runs reads a target's run log.
-func (f *fleet) runs(id string) []run {
-	content, err := os.ReadFile(f.runLog(id))
-	if err != nil {
-		return nil
-	}
-	var out []run
-	for _, line := range bytes.Split(bytes.TrimSpace(content), []byte("\n")) {
-		var r run
-		if json.Unmarshal(line, &r) == nil {
-			out = append(out, r)
-		}
-	}
-	return out
-}
--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"bluebellcrank/internal/state/target"
@@ -134,6 +135,12 @@
 		}
 	}
 	answerJSON(ctx, out)
+	tag := strconv.Quote(strconv.FormatUint(xxhash.Sum64(ctx.Response.Body()), 36))
+	if string(ctx.Request.Header.Peek("If-None-Match")) == tag {
+		ctx.Response.ResetBody()
+		ctx.SetStatusCode(fasthttp.StatusNotModified)
+	}
+	ctx.Response.Header.Set("ETag", tag)
 }
 
 func (p *platform) keys(ctx *fasthttp.RequestCtx) {
--- a/internal/protocol/platform/client.go
+++ b/internal/protocol/platform/client.go
@@ -19,6 +19,8 @@
 	ErrNotFound = errors.New("platform: object not found")
 	// ErrConflict says that the object's version was not the expected one.
 	ErrConflict = errors.New("platform: version conflict")
+	// ErrUnchanged says that the caller already has what was asked for.
+	ErrUnchanged = errors.New("platform: not changed")
 	// ErrUnavailable says that the call failed and may have taken effect.
 	ErrUnavailable = errors.New("platform: unavailable")
 )
@@ -143,7 +145,29 @@
 
 // Instances returns the platform's instance list, which lags.
 func (c *Client) Instances() ([]target.Instance, error) {
-	return fetch[[]target.Instance](c, pathInstances)
+	list, _, err := c.InstancesUnless("")
+	return list, err
+}
+
+// InstancesUnless returns the instance list and its entity tag, or
+// ErrUnchanged if the list still has the tag given. A platform that knows no
+// tags answers with the whole list.
+func (c *Client) InstancesUnless(tag string) ([]target.Instance, string, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI(c.base + pathInstances)
+	if tag != "" {
+		req.Header.Set("If-None-Match", tag)
+	}
+	if err := c.do(req, resp, c.timeout); err != nil {
+		return nil, tag, err
+	}
+	var out []target.Instance
+	if err := json.Unmarshal(resp.Body(), &out); err != nil {
+		return nil, tag, fmt.Errorf("%w: instance list: %v", ErrUnavailable, err)
+	}
+	return out, string(resp.Header.Peek(versionHeader)), nil
 }
 
 func fetch[T any](c *Client, path string) (T, error) {
@@ -168,6 +192,8 @@
 	switch resp.StatusCode() {
 	case fasthttp.StatusOK:
 		return nil
+	case fasthttp.StatusNotModified:
+		return ErrUnchanged
 	case fasthttp.StatusNotFound:
 		return ErrNotFound
 	case fasthttp.StatusPreconditionFailed:
--- a/internal/transport/member/list.go
+++ b/internal/transport/member/list.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"bluebellcrank/internal/coordination/membership"
 	"bluebellcrank/internal/coordination/revision"
 	"bluebellcrank/internal/protocol/peer"
+	"bluebellcrank/internal/protocol/platform"
 	"bluebellcrank/internal/state/target"
 	"bluebellcrank/internal/transport/process"
 )
@@ -24,11 +26,21 @@
 	if !l.Empty() && !watches && l.Age(now) < staleList {
 		return
 	}
-	list, err := m.platform.Instances()
+	m.listing.Lock()
+	defer m.listing.Unlock()
+	list, tag, err := m.platform.InstancesUnless(m.listTag)
+	m.listTag = tag
+	read := membership.New(list, now)
+	if errors.Is(err, platform.ErrUnchanged) {
+		read, err = m.listRead.Confirmed(now), nil
+	}
+	if err == nil {
+		m.listRead = read
+	}
 	m.loop.Tell(func(time.Time) {
 		m.heardPlatform(err)
 		if err == nil {
-			m.setList(membership.New(list, now))
+			m.setList(read)
 		}
 	})
 }
--- a/internal/transport/member/member.go
+++ b/internal/transport/member/member.go
@@ -51,6 +51,10 @@
 	saved    atomic.Int64 // when the last batch went out, in Unix nanoseconds
 	serial   atomic.Uint64
 
+	listing  sync.Mutex
+	listTag  string
+	listRead membership.List
+
 	adopting sync.Mutex
 	builder  *config.Builder
 	files    map[string]keptFile
