--- a/internal/transport/operator/base.go
+++ b/internal/transport/operator/base.go
@@ -35,12 +35,17 @@
 	return h, nil
 }
 
-// writeBase records the files that the folder holds as of a head; those that
-// came from others are left for the next pull.
-func writeBase(folder string, head config.Head, local []config.File) error {
+// writeBase records what each of the folder's files was edited from: the
+// head's state of it where the folder holds that, else what it was before. A
+// file that others have changed is left as it is until the next pull.
+func writeBase(folder string, old, head config.Head, local []config.File) error {
 	base := config.Head{Revision: head.Revision, ChangeID: head.ChangeID}
 	for _, f := range local {
-		if r, found := head.Find(f.Name); found && r.Digest == f.Digest() {
+		r, found := head.Find(f.Name)
+		if !found || r.Digest != f.Digest() {
+			r, found = old.Find(f.Name)
+		}
+		if found {
 			base.Files = append(base.Files, r)
 		}
 	}
@@ -88,7 +93,7 @@
 	if err := removeStale(folder, base, head); err != nil {
 		return head, err
 	}
-	return head, writeBase(folder, head, files)
+	return head, writeBase(folder, config.Head{}, head, files)
 }
 
 // editedHere returns a conflict if writing f would lose an edit.
@@ -105,7 +110,7 @@
 	if mine == r.Digest || mine == was.Digest {
 		return nil
 	}
-	return &ConflictError{file: f.Name, base: base.Revision, theirs: r.Revision}
+	return &ConflictError{file: f.Name, base: was.Revision, theirs: r.Revision}
 }
 
 // removeStale removes files that others have removed, unless edited here.
--- a/internal/transport/operator/push.go
+++ b/internal/transport/operator/push.go
@@ -88,7 +88,7 @@
 			continue
 		}
 		if err == nil {
-			err = writeBase(folder, p.head, local)
+			err = writeBase(folder, base, p.head, local)
 		}
 		return p, err
 	}
@@ -170,7 +170,7 @@
 				out = append(out, mine)
 			}
 		case changedHere && (known || have):
-			return nil, nil, &ConflictError{file: name, base: base.Revision, theirs: theirs.Revision}
+			return nil, nil, &ConflictError{file: name, base: was.Revision, theirs: theirs.Revision}
 		case pushed:
 			o, err := client.Get(member.FileKey(theirs.Digest))
 			if err != nil {
