Garbled answers proved and twinned; a platform that was reset is named

Cause: the comparison of digests had no test that fails without it; a push into a platform that has less than the folder was edited from said that other operators were faster.

Ruled out: corrupting in the entry (the fault belongs on the path).

Conclusion: each guard of entry and agent now has a checker that notices, but for the look at the deadline, whose twin is in virtual time.

--- a/cmd/standin/relay.go
+++ b/cmd/standin/relay.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/valyala/fasthttp"
 )
@@ -16,11 +18,13 @@
 }
 
 // relay forwards TCP; cut ends all open connections, silence lets them stay
-// open and forward nothing more, while new ones work.
+// open and forward nothing more, while new ones work; garble changes a letter
+// of plain answers from now on.
 type relay struct {
-	to    string
-	mu    sync.Mutex
-	conns map[net.Conn]*path
+	to     string
+	garble atomic.Bool
+	mu     sync.Mutex
+	conns  map[net.Conn]*path
 }
 
 type path struct {
@@ -48,6 +52,10 @@
 }
 
 func (r *relay) control(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) == "/garble" {
+		r.garble.Store(true)
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for conn, p := range r.conns {
@@ -78,7 +86,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			p.copy(pair[1], pair[0])
+			p.copy(pair[1], pair[0], &r.garble)
 		}()
 	}
 	wg.Wait()
@@ -89,7 +97,7 @@
 }
 
 // copy forwards until an end; a silent path swallows bytes and never ends.
-func (p *path) copy(to, from net.Conn) {
+func (p *path) copy(to, from net.Conn, garble *atomic.Bool) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -102,6 +110,9 @@
 			}
 			continue
 		}
+		if garble.Load() {
+			copy(buffer[:n], bytes.ReplaceAll(buffer[:n], []byte("done"), []byte("dome")))
+		}
 		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				break
--- a/cmd/standin/stop_test.go
+++ b/cmd/standin/stop_test.go
@@ -222,6 +222,33 @@
 	c.Assert(got.status == 200 && got.body != plainAnswer("mine"), qt.IsTrue, qt.Commentf("the checker noticed nothing: %+v", got))
 }
 
+// garbled asks for plain answers over a path that changes them, and returns
+// those that came as if they were whole.
+func garbled(t *testing.T, entryTwin string) []string {
+	f := testFleet(t)
+	f.viaRelay, f.entryTwin = true, entryTwin
+	must(t, f.addTarget("bells-1", "bells", "east"), f.addEntry("entry-1", "east"), f.publish())
+	push(t, f, map[string]string{"10.yaml": withKey(testConfig)})
+	must(t, f.ready("entry-1", "bells"))
+	must(t, f.post("http://"+f.controls["relay-traffic-bells-1"]+"/garble", nil))
+	var out []string
+	for n := range 5 {
+		got, err := f.send("entry-1", "GET", "/bells/tower", fmt.Sprintf(`{"token":"%d"}`, n), nil)
+		if err == nil && got.status == 200 && got.body != plainAnswer(fmt.Sprint(n)) {
+			out = append(out, got.body)
+		}
+	}
+	return out
+}
+
+func TestProveGarbledAnswers(t *testing.T) {
+	qt.New(t).Check(garbled(t, ""), qt.HasLen, 0)
+}
+
+func TestTwinThatDeliversGarbled(t *testing.T) {
+	qt.New(t).Check(len(garbled(t, "whole")) > 0, qt.IsTrue, qt.Commentf("the checker noticed nothing"))
+}
+
 // A request that crashes each target that runs it, sent again and again.
 func TestProveCrashingRequest(t *testing.T) {
 	c := qt.New(t)
--- a/internal/transport/operator/push.go
+++ b/internal/transport/operator/push.go
@@ -28,6 +28,8 @@
 	ErrUnknown = errors.New("the platform does not say whether the change was accepted")
 	// ErrRaced says that other operators were always faster.
 	ErrRaced = errors.New("other operators kept changing the configuration")
+	// errOlder is a platform that answers with less than the folder has seen.
+	errOlder = fmt.Errorf("%w: the platform's revision is older than the one this folder was edited from (.bluebellcrank.json)", platform.ErrConflict)
 )
 
 // ConflictError names a file that two operators changed.
@@ -81,16 +83,20 @@
 		return Pushed{}, err
 	}
 	changeID := strconv.FormatUint(rand.Uint64(), 36)
+	var last error
 	for n := 0; n < pushTries; n++ {
 		p, err := pushOnce(client, base, local, changeID)
-		if errors.Is(err, platform.ErrConflict) {
-			time.Sleep(rand.N(racePause))
-			continue
-		}
 		if err == nil {
-			err = writeBase(folder, base, p.head, local)
+			return p, writeBase(folder, base, p.head, local)
 		}
-		return p, err
+		if !errors.Is(err, platform.ErrConflict) {
+			return p, err
+		}
+		last = err
+		time.Sleep(rand.N(racePause))
+	}
+	if errors.Is(last, errOlder) {
+		return Pushed{}, errOlder
 	}
 	return Pushed{}, ErrRaced
 }
@@ -101,8 +107,7 @@
 		return Pushed{}, err
 	}
 	if head.Revision < base.Revision {
-		// The platform answered with an older state than this folder has seen.
-		return Pushed{}, platform.ErrConflict
+		return Pushed{}, errOlder
 	}
 	files, rebased, err := rebase(client, base, head, local)
 	if err != nil {
