A batch of refusals whose answer was lost counts as written

Cause, found by reading: a batch that landed without an answer conflicted with itself at every later save, so that no refusal of that process was written again. The event for dropped refusals was declared and never logged.

Ruled out: a new key for each try (readers would have every refusal twice for good, and the object API more objects).

Change: on a conflict the object is read and its ids count as written.

Figures: TestRefusalsWhoseAnswerWasLost passes; by the code before, its second wait could not end.

--- a/cmd/standin/caller_test.go
+++ b/cmd/standin/caller_test.go
@@ -114,6 +114,27 @@
 	c.Check(got.status, qt.Equals, 200)
 }
 
+func TestRefusalsWhoseAnswerWasLost(t *testing.T) {
+	c := qt.New(t)
+	f := testFleet(t)
+	must(t, f.addTarget("bells-1", "bells", "east"), f.addEntry("entry-1", "east"), f.publish())
+	push(t, f, map[string]string{"10.yaml": withKey(coldConfig)})
+	must(t, f.ready("entry-1", "bells"))
+	must(t, f.post("http://"+f.platform+"/faults", platformFaults{LoseAnswers: 1, LosePrefix: "refusals/"}))
+	first, _ := f.send("entry-1", "GET", "/organ/x", "", nil)
+	must(t, waitFor(func() bool {
+		s, err := ask(f, f.instance("entry-1"))
+		return err == nil && s.Pending == 0
+	}, "the batch counts as written"))
+	second, _ := f.send("entry-1", "GET", "/organ/x", "", nil)
+	for _, id := range []string{first.id, second.id} {
+		must(t, waitFor(func() bool { _, err := f.operator("explain", id); return err == nil }, "the refusal is saved"))
+	}
+	list, err := f.operator("refusals")
+	c.Assert(err, qt.IsNil)
+	c.Check(strings.Count(list, first.id), qt.Equals, 1)
+}
+
 func TestRefusalsSurviveAnOutage(t *testing.T) {
 	c := qt.New(t)
 	f := testFleet(t)
--- a/internal/transport/member/refusals.go
+++ b/internal/transport/member/refusals.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
@@ -35,10 +36,19 @@
 	r.Process = m.settings.Instance
 	r.Time = now.UTC()
 	event.RequestRefused.Log(m.log, "reason", r.Reason, "effect", r.Effect, "account", r.Account, "service", r.Service, "id", r.ID)
-	m.loop.Tell(func(time.Time) { m.refusals.Add(r) })
+	m.loop.Tell(func(time.Time) { m.keepRefusal(r) })
 	return r
 }
 
+// keepRefusal runs on the control thread.
+func (m *Member) keepRefusal(r refusal.Refusal) {
+	before := m.refusals.Dropped()
+	m.refusals.Add(r)
+	if m.refusals.Dropped() > before {
+		event.RefusalsDropped.Log(m.log, "total", m.refusals.Dropped())
+	}
+}
+
 // pendingBatch is what one save takes.
 type pendingBatch struct {
 	refusals []refusal.Refusal
@@ -56,12 +66,12 @@
 		return
 	}
 	m.saved.Store(now.UnixNano())
-	if err := m.writeBatch(m.settings.Instance, batch, now); err != nil {
+	ids, err := m.writeBatch(m.settings.Instance, batch, now)
+	if err != nil {
 		event.RefusalsUnsaved.Log(m.log, "count", len(batch.refusals), "error", err)
 		m.copyToPeer(batch.refusals)
 		return
 	}
-	ids := lo.Map(batch.refusals, func(r refusal.Refusal, _ int) string { return r.ID })
 	m.loop.Tell(func(time.Time) { m.refusals.Written(ids) })
 	m.tellKeeper(ids)
 }
@@ -73,7 +83,9 @@
 	return time.Duration(n) * savePerProcess
 }
 
-func (m *Member) writeBatch(of string, b pendingBatch, now time.Time) error {
+// writeBatch writes a batch and returns the ids that are safe: those of the
+// batch, or of an earlier one under the same key whose answer was lost.
+func (m *Member) writeBatch(of string, b pendingBatch, now time.Time) ([]string, error) {
 	value, err := json.Marshal(refusal.Batched{
 		Process:  of,
 		Time:     now.UTC(),
@@ -81,11 +93,30 @@
 		Refusals: b.refusals,
 	})
 	if err != nil {
-		return fmt.Errorf("member: encode refusals: %w", err)
+		return nil, fmt.Errorf("member: encode refusals: %w", err)
 	}
 	key := RefusalPrefix + now.UTC().Format(dayFormat) + "/" + b.refusals[0].ID
 	_, err = m.platform.Put(key, value, platform.Absent)
-	return err
+	if errors.Is(err, platform.ErrConflict) {
+		return m.writtenBefore(key)
+	}
+	return refusalIDs(b.refusals), err
+}
+
+func (m *Member) writtenBefore(key string) ([]string, error) {
+	o, err := m.platform.Get(key)
+	if err != nil {
+		return nil, err
+	}
+	var b refusal.Batched
+	if err := json.Unmarshal(o.Value, &b); err != nil {
+		return nil, fmt.Errorf("member: refusals under %s: %w", key, err)
+	}
+	return refusalIDs(b.Refusals), nil
+}
+
+func refusalIDs(list []refusal.Refusal) []string {
+	return lo.Map(list, func(r refusal.Refusal, _ int) string { return r.ID })
 }
 
 // copyToPeer lets one peer hold the refusals in case this process goes; it is
@@ -136,10 +167,10 @@
 		return lo.PickBy(m.kept, func(id string, _ []refusal.Refusal) bool { return !listed[id] })
 	})
 	for id, list := range gone {
-		if err := m.writeBatch(id, pendingBatch{refusals: list}, now); err != nil {
+		ids, err := m.writeBatch(id, pendingBatch{refusals: list}, now)
+		if err != nil {
 			continue
 		}
-		ids := lo.Map(list, func(r refusal.Refusal, _ int) string { return r.ID })
 		m.loop.Tell(func(time.Time) { m.forgetKept(id, ids) })
 	}
 }
