--- a/cmd/bluebellcrank/forecast.go
+++ b/cmd/bluebellcrank/forecast.go
@@ -40,7 +40,7 @@
 		return err
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "SERVICE\tLOAD\tREQUESTS/S\tFIRST TOKEN P95\tBETWEEN TOKENS P95\tPREFIX HITS\tREFUSED")
+	_, _ = fmt.Fprintln(w, "SERVICE\tLOAD\tREQUESTS/S\tFIRST TOKEN P95\tBETWEEN TOKENS P95\tPREFIX HITS\tREFUSED\tOBJECTIVES")
 	rows := 0
 	for _, name := range conf.Services() {
 		s := conf.Service(name)
@@ -55,6 +55,14 @@
 	return w.Flush()
 }
 
+// objectives says whether 95 in 100 are within the service's objectives.
+func objectives(s *service.Service, o *forecast.Outcome) string {
+	if o.First(0.95) <= s.FirstToken() && o.Between(0.95) <= s.BetweenTokens() {
+		return "met"
+	}
+	return "missed"
+}
+
 // play writes a service's rows and returns how many there are.
 func (c *forecastCmd) play(w *tabwriter.Writer, s *service.Service, conf *config.Config) int {
 	var m forecast.Model
@@ -66,9 +74,9 @@
 	bears := forecast.Bears(p)
 	for _, part := range parts {
 		o := forecast.Play(p.WithRate(part * bears))
-		_, _ = fmt.Fprintf(w, "%s\t%.0f%%\t%.1f\t%s\t%s\t%.0f%%\t%.1f%%\n", s.Name(), part*100, part*bears,
+		_, _ = fmt.Fprintf(w, "%s\t%.0f%%\t%.1f\t%s\t%s\t%.0f%%\t%.1f%%\t%s\n", s.Name(), part*100, part*bears,
 			o.First(0.95).Round(time.Millisecond), o.Between(0.95).Round(time.Millisecond),
-			100*o.HitRate(), 100*float64(o.Refused())/float64(max(o.Requests(), 1)))
+			100*o.HitRate(), 100*float64(o.Refused())/float64(max(o.Requests(), 1)), objectives(s, o))
 	}
 	return len(parts)
 }
--- a/cmd/bluebellcrank/layers_test.go
+++ b/cmd/bluebellcrank/layers_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"bluebellcrank/internal/state/event"
+	"bluebellcrank/internal/state/refusal"
 )
 
 // layers, from the outermost inward; each imports only itself and those
@@ -78,6 +79,17 @@
 	}
 }
 
+func TestReasonsAreDocumented(t *testing.T) {
+	c := qt.New(t)
+	content, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATING.md"))
+	c.Assert(err, qt.IsNil)
+	for _, r := range refusal.Reasons() {
+		c.Check(string(content), qt.Contains, "`"+string(r)+"`")
+		c.Check(r.Explain(), qt.Not(qt.Equals), "")
+		c.Check(r.Status() >= 400, qt.IsTrue)
+	}
+}
+
 func TestEventsAreDocumented(t *testing.T) {
 	c := qt.New(t)
 	content, err := os.ReadFile(filepath.Join("..", "..", "docs", "EVENTS.md"))
--- a/internal/protocol/platform/client.go
+++ b/internal/protocol/platform/client.go
@@ -119,17 +119,6 @@
 	return version(resp)
 }
 
-// Delete removes an object if its version is still the expected one.
-func (c *Client) Delete(key string, expected Version) error {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetMethod(fasthttp.MethodDelete)
-	req.SetRequestURI(c.base + pathObjects + key)
-	condition(req, expected)
-	return c.do(req, resp, c.timeout)
-}
-
 func condition(req *fasthttp.Request, expected Version) {
 	if expected == Absent {
 		req.Header.Set("If-None-Match", "*")
--- a/internal/state/refusal/explain.go
+++ b/internal/state/refusal/explain.go
@@ -1,5 +1,10 @@
 package refusal
 
+import (
+	"maps"
+	"slices"
+)
+
 // explanations say what each reason means, for operators.
 var explanations = map[Reason]string{
 	BadRequest:       "the request was malformed",
@@ -29,8 +34,10 @@
 // Explain returns what the reason means.
 func (r Reason) Explain() string { return explanations[r] }
 
-// Reasons returns the number of reasons.
-func Reasons() int { return len(explanations) }
+// Reasons returns every reason, sorted.
+func Reasons() []Reason {
+	return slices.Sorted(maps.Keys(explanations))
+}
 
 // Explain returns what the effect means.
 func (e Effect) Explain() string {
--- a/internal/transport/member/member.go
+++ b/internal/transport/member/member.go
@@ -197,6 +197,9 @@
 // Address returns where peers reach this process.
 func (m *Member) Address() string { return m.address }
 
+// Instance returns the id of the instance that the process runs on.
+func (m *Member) Instance() string { return m.settings.Instance }
+
 // Incarnation returns the random name of this run of the process.
 func (m *Member) Incarnation() string { return m.incarnation }
 
--- a/internal/transport/rankgroup/coordinator.go
+++ b/internal/transport/rankgroup/coordinator.go
@@ -43,8 +43,8 @@
 // lease is the object that names a group's coordinator; its version when it
 // was taken is the fencing number.
 type lease struct {
-	Agent string `json:"agent"`
-	Run   string `json:"incarnation"`
+	Agent       string `json:"agent"`
+	Incarnation string `json:"incarnation"`
 }
 
 // storedMap is an expert map in the object API.
@@ -115,7 +115,7 @@
 }
 
 func (c *coordinator) write(expected platform.Version) (platform.Version, error) {
-	value, err := json.Marshal(lease{Agent: c.group.settings.Group, Run: c.group.member.Incarnation()})
+	value, err := json.Marshal(lease{Agent: c.group.member.Instance(), Incarnation: c.group.member.Incarnation()})
 	if err != nil {
 		return 0, err
 	}
