Refusals are copied to a peer at once; every setting stands in the operators' page

Cause: refusals went to a peer only when the platform refused a batch, so that a process killed within its batch interval lost them uncounted; a peer wrote what it kept only for instances that left the list, not for one that started anew under its name.

Conclusion: what can be lost is the last 100 ms of a killed process.

--- a/cmd/bluebellcrank/settings_test.go
+++ b/cmd/bluebellcrank/settings_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"testing"
 
+	"github.com/alecthomas/kong"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -64,3 +65,38 @@
 		c.Check(text, qt.Contains, at)
 	}
 }
+
+// settingRows are the rows of a daemon's settings in docs/OPERATING.md.
+func settingRows(t *testing.T, daemon string) []string {
+	var c commands
+	parser, err := kong.New(&c, kong.DefaultEnvars("BLUEBELLCRANK"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var rows []string
+	for _, node := range parser.Model.Children {
+		if node.Name != daemon {
+			continue
+		}
+		for _, f := range node.Flags {
+			if f.Name == "settings" || f.Name == "print-settings" {
+				continue
+			}
+			rows = append(rows, "| `"+f.Name+"` | "+f.Default+" | "+f.Help+" |")
+		}
+	}
+	return rows
+}
+
+func TestSettingsAreDocumented(t *testing.T) {
+	c := qt.New(t)
+	content, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATING.md"))
+	c.Assert(err, qt.IsNil)
+	for _, daemon := range []string{"entry", "agent"} {
+		rows := settingRows(t, daemon)
+		c.Assert(len(rows) > 10, qt.IsTrue)
+		for _, row := range rows {
+			c.Check(string(content), qt.Contains, row)
+		}
+	}
+}
--- a/cmd/standin/bench_test.go
+++ b/cmd/standin/bench_test.go
@@ -24,6 +24,7 @@
 	benchWindow  = 8 * time.Second
 	ticksPerSec  = 100.0
 	benchSamples = 3000
+	mallocs      = "go_memstats_mallocs_total"
 )
 
 func init() { raceFlag = "-race=false" }
@@ -162,6 +163,7 @@
 	must(t, f.ready("entry-1", "bells"))
 	var direct, through []float64
 	beforeEntry, beforeAgent := cpuSeconds(f.proc("entry-1")), cpuSeconds(f.proc("bells-1"))
+	beforeMallocs := metric(f, "entry-1", mallocs)
 	for range benchSamples {
 		direct = append(direct, timed(f, f.targets["bells-1"], "/tower"))
 		through = append(through, timed(f, f.instance("entry-1").Traffic, "/bells/tower"))
@@ -174,6 +176,7 @@
 		row(t, fmt.Sprintf("added to a request, p%.0f", q*100), (through[n]-direct[n])*1000, "ms", "-", "-")
 		row(t, fmt.Sprintf("through over direct, p%.0f", q*100), through[n]/direct[n], "ratio", "-", "-")
 	}
+	row(t, "entry, allocations of a request", (metric(f, "entry-1", mallocs)-beforeMallocs)/benchSamples, "allocations", "-", "-")
 	row(t, "entry, processor time of a request", entry/benchSamples*1e6, "us", "-", "-")
 	row(t, "agent, processor time of a request", agent/benchSamples*1e6, "us", "-", "-")
 }
--- a/cmd/standin/caller_test.go
+++ b/cmd/standin/caller_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -44,6 +45,7 @@
 		{"body too large", "GET", "/bells/x", big, nil, 413, "too-large"},
 		{"no body", "GET", "/bells/empty", "", nil, 204, ""},
 		{"head", "HEAD", "/bells/x", "", nil, 200, ""},
+		{"header too large", "GET", "/bells/x", "", map[string]string{"X-Long": strings.Repeat("x", 40_000)}, 413, "too-large"},
 		{"first order", "POST", "/bells/ring", `{"token":"a"}`, key, 200, ""},
 		{"key with another body", "POST", "/bells/ring", `{"token":"b"}`, key, 422, "idempotency-key-reused"},
 		{"first of the hasty", "GET", "/bells/x", "", map[string]string{"X-Api-Key": "hasty-key"}, 200, ""},
@@ -135,6 +137,49 @@
 	c.Check(strings.Count(list, first.id), qt.Equals, 1)
 }
 
+func TestRefusalsOfAKilledProcess(t *testing.T) {
+	f := testFleet(t)
+	must(t, f.addTarget("bells-1", "bells", "east"), f.addEntry("entry-1", "east", "--refusal-interval=1m"), f.publish())
+	push(t, f, map[string]string{"10.yaml": withKey(coldConfig)})
+	must(t, f.ready("entry-1", "bells"))
+	got, _ := f.send("entry-1", "GET", "/organ/x", "", nil)
+	must(t, waitFor(func() bool {
+		s, err := ask(f, f.instance("bells-1"))
+		return err == nil && s.Kept > 0
+	}, "a peer keeps the refusal"))
+	// The next one under this name knows nothing of it.
+	f.proc("entry-1").kill()
+	must(t, f.startEntry(f.instance("entry-1")))
+	must(t, waitFor(func() bool {
+		_, err := f.operator("explain", got.id)
+		return err == nil
+	}, "the peer wrote the refusal"))
+}
+
+func TestSecondSignal(t *testing.T) {
+	c := qt.New(t)
+	f := testFleet(t)
+	must(t, f.addTarget("advisor-1", "advisor", "east", "--engine", "--token=50ms"), f.addEntry("entry-1", "east"), f.publish())
+	push(t, f, map[string]string{"10.yaml": withKey(testConfig)})
+	must(t, f.ready("entry-1", "advisor"))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = f.send("entry-1", "POST", "/advisor/x", `{"token":"long","max_tokens":100000}`, nil)
+	}()
+	must(t, waitFor(func() bool { return busiest(f) != "" }, "the stream has begun"))
+	p := f.proc("entry-1")
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+		c.Fatal("the first signal cut the stream off")
+	case <-time.After(2 * time.Second):
+	}
+	p.signal(syscall.SIGTERM)
+	c.Check(waitFor(func() bool { return !f.alive("entry-1") }, "the second signal ends it"), qt.IsNil)
+	<-done
+}
+
 func TestRefusalsSurviveAnOutage(t *testing.T) {
 	c := qt.New(t)
 	f := testFleet(t)
--- a/internal/state/refusal/log.go
+++ b/internal/state/refusal/log.go
@@ -11,6 +11,7 @@
 type Log struct {
 	limit   int
 	pending []Refusal
+	fresh   []Refusal
 	dropped int
 	total   int
 }
@@ -24,12 +25,20 @@
 func (l *Log) Add(r Refusal) {
 	l.total++
 	l.pending = append(l.pending, r)
+	l.fresh = append(l.fresh, r)
 	if len(l.pending) > l.limit {
 		l.pending = l.pending[1:]
 		l.dropped++
 	}
 }
 
+// Fresh returns the refusals that were added since it was last called.
+func (l *Log) Fresh() []Refusal {
+	out := l.fresh
+	l.fresh = nil
+	return out
+}
+
 // Batch returns up to limit of the oldest refusals, which stay in the log
 // until Written names them.
 func (l *Log) Batch(limit int) []Refusal {
--- a/internal/transport/member/member.go
+++ b/internal/transport/member/member.go
@@ -46,7 +46,7 @@
 	isolated bool
 	platOK   bool
 	refusals *refusal.Log
-	kept     map[string][]refusal.Refusal
+	kept     map[string]keptRefusals
 	keeper   atomic.Pointer[target.Instance]
 	saved    atomic.Int64 // when the last batch went out, in Unix nanoseconds
 	serial   atomic.Uint64
@@ -144,7 +144,7 @@
 		isolated:    true,
 		platOK:      true,
 		refusals:    refusal.NewLog(s.RefusalsKept),
-		kept:        map[string][]refusal.Refusal{},
+		kept:        map[string]keptRefusals{},
 		builder:     config.NewBuilder(),
 		files:       map[string]keptFile{},
 		stop:        make(chan struct{}),
@@ -164,6 +164,7 @@
 	m.work(func() { process.Every(m.settings.ExchangeEvery, m.stop, m.exchangeNear) })
 	m.work(func() { process.Every(m.settings.ExchangeEvery, m.stop, m.exchangeFar) })
 	m.work(func() { process.Every(m.settings.RefusalBatch, m.stop, m.saveRefusals) })
+	m.work(func() { process.Every(copyEvery, m.stop, m.copyFresh) })
 	m.work(func() { m.refreshList(time.Now()) })
 }
 
--- a/internal/transport/member/refusals.go
+++ b/internal/transport/member/refusals.go
@@ -27,7 +27,12 @@
 	savePerProcess = 10 * time.Millisecond
 	// keptPerPeer bounds what a process keeps for each peer.
 	keptPerPeer = 1000
-	dayFormat   = "2006-01-02"
+	// keptFor is how long a process waits for a peer to say that its refusals
+	// are written before it writes them itself.
+	keptFor = 10 * time.Second
+	// copyEvery is how often fresh refusals are copied.
+	copyEvery = 100 * time.Millisecond
+	dayFormat = "2006-01-02"
 )
 
 // Refuse records a refusal and returns it with its id, time and process.
@@ -55,8 +60,16 @@
 	dropped  int
 }
 
-// saveRefusals writes one batch to the platform, or copies it to a peer
-// while the platform does not take it.
+// copyFresh gives the refusals of the last moment to a peer, so that they
+// outlive this process whatever becomes of it before the next batch.
+func (m *Member) copyFresh(time.Time) {
+	fresh := process.Ask(m.loop, func(time.Time) []refusal.Refusal { return m.refusals.Fresh() })
+	if len(fresh) > 0 {
+		m.copyToPeer(fresh)
+	}
+}
+
+// saveRefusals writes one batch to the platform.
 func (m *Member) saveRefusals(now time.Time) {
 	batch := process.Ask(m.loop, func(time.Time) pendingBatch {
 		return pendingBatch{refusals: m.refusals.Batch(refusalBatch), dropped: m.refusals.Dropped()}
@@ -69,7 +82,6 @@
 	ids, err := m.writeBatch(m.settings.Instance, batch, now)
 	if err != nil {
 		event.RefusalsUnsaved.Log(m.log, "count", len(batch.refusals), "error", err)
-		m.copyToPeer(batch.refusals)
 		return
 	}
 	m.loop.Tell(func(time.Time) { m.refusals.Written(ids) })
@@ -119,8 +131,8 @@
 	return lo.Map(list, func(r refusal.Refusal, _ int) string { return r.ID })
 }
 
-// copyToPeer lets one peer hold the refusals in case this process goes; it is
-// the same peer for as long as that is there.
+// copyToPeer lets one peer hold refusals; it is the same peer for as long as
+// that is listed.
 func (m *Member) copyToPeer(list []refusal.Refusal) {
 	i, found := revision.Keeper(m.settings.Instance, m.peers())
 	if !found {
@@ -132,16 +144,20 @@
 
 // tellKeeper lets the peer forget what is written.
 func (m *Member) tellKeeper(ids []string) {
-	if i := m.keeper.Swap(nil); i != nil {
+	if i := m.keeper.Load(); i != nil {
 		_ = peer.Notify(m.pool, i.Peer, peer.MethodWritten, peer.WrittenRefusals{Process: m.settings.Instance, IDs: ids})
 	}
 }
 
 func (m *Member) answerKeep(_ context.Context, k peer.KeepRefusals) (peer.Nothing, error) {
-	m.loop.Tell(func(time.Time) {
-		list := append(m.kept[k.Process], k.Refusals...)
-		list = lo.UniqBy(list, func(r refusal.Refusal) string { return r.ID })
-		m.kept[k.Process] = list[max(0, len(list)-keptPerPeer):]
+	m.loop.Tell(func(now time.Time) {
+		kept := m.kept[k.Process]
+		if len(kept.refusals) == 0 {
+			kept.since = now
+		}
+		kept.refusals = append(kept.refusals, k.Refusals...)
+		kept.refusals = kept.refusals[max(0, len(kept.refusals)-keptPerPeer):]
+		m.kept[k.Process] = kept
 	})
 	return peer.Nothing{}, nil
 }
@@ -153,21 +169,31 @@
 
 // forgetKept runs on the control thread.
 func (m *Member) forgetKept(process string, ids []string) {
-	m.kept[process] = lo.Reject(m.kept[process], func(r refusal.Refusal, _ int) bool { return lo.Contains(ids, r.ID) })
-	if len(m.kept[process]) == 0 {
+	kept := m.kept[process]
+	kept.refusals = lo.Reject(kept.refusals, func(r refusal.Refusal, _ int) bool { return lo.Contains(ids, r.ID) })
+	if len(kept.refusals) == 0 {
 		delete(m.kept, process)
+		return
 	}
+	m.kept[process] = kept
+}
+
+// keptRefusals are a peer's refusals, and since when some of them wait.
+type keptRefusals struct {
+	refusals []refusal.Refusal
+	since    time.Time
 }
 
-// inherit writes the refusals of processes that are no longer listed. Two
-// keepers may write the same ones; readers take each id once.
+// inherit writes the refusals of processes that are no longer listed, or that
+// have not said for a while that theirs are written: they may have started
+// anew. Two may write the same ones; readers take each id once.
 func (m *Member) inherit(now time.Time) {
 	listed := lo.SliceToMap(m.Instances(), func(i target.Instance) (string, bool) { return i.ID, true })
-	gone := process.Ask(m.loop, func(time.Time) map[string][]refusal.Refusal {
-		return lo.PickBy(m.kept, func(id string, _ []refusal.Refusal) bool { return !listed[id] })
+	gone := process.Ask(m.loop, func(now time.Time) map[string]keptRefusals {
+		return lo.PickBy(m.kept, func(id string, k keptRefusals) bool { return !listed[id] || now.Sub(k.since) > keptFor })
 	})
-	for id, list := range gone {
-		ids, err := m.writeBatch(id, pendingBatch{refusals: list}, now)
+	for id, kept := range gone {
+		ids, err := m.writeBatch(id, pendingBatch{refusals: kept.refusals}, now)
 		if err != nil {
 			continue
 		}
@@ -178,8 +204,8 @@
 // RefusalCounts returns how many refusals wait to be written, how many were
 // lost, and how many are kept for peers; the caller is on the control thread.
 func (m *Member) RefusalCounts() (pending, dropped, kept int) {
-	for _, list := range m.kept {
-		kept += len(list)
+	for _, k := range m.kept {
+		kept += len(k.refusals)
 	}
 	return m.refusals.Pending(), m.refusals.Dropped(), kept
 }
