--- a/cmd/standin/caller_test.go
+++ b/cmd/standin/caller_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/valyala/fasthttp"
 )
 
 const callerConfig = `
@@ -92,6 +94,31 @@
 	}
 	_, err = f.operator("dump", "nobody")
 	c.Check(err, qt.IsNotNil)
+	for _, p := range f.procs {
+		log, _ := os.ReadFile(p.log)
+		c.Check(strings.Contains(string(log), demoKey) || strings.Contains(string(log), "hasty-key"), qt.IsFalse, qt.Commentf("%s logs a key", p.name))
+	}
+	operatorListener(t, f)
+}
+
+// operatorListener asks each daemon's listener for operators.
+func operatorListener(t *testing.T, f *fleet) {
+	c := qt.New(t)
+	tests := []struct{ id, path, want string }{
+		{"entry-1", "/healthz", "ok"},
+		{"entry-1", "/readyz", "ready"},
+		{"entry-1", "/metrics", "bluebellcrank_requests_total "},
+		{"entry-1", "/dump", "in-flight: "},
+		{"bells-1", "/readyz", "ready"},
+		{"bells-1", "/metrics", "bluebellcrank_revision 1"},
+		{"bells-1", "/dump", "target-up: true"},
+	}
+	for _, tt := range tests {
+		status, body, err := fasthttp.Get(nil, "http://"+f.operators[tt.id]+tt.path)
+		c.Assert(err, qt.IsNil)
+		c.Check(status, qt.Equals, fasthttp.StatusOK, qt.Commentf("%s%s", tt.id, tt.path))
+		c.Check(string(body), qt.Contains, tt.want)
+	}
 }
 
 // slowCaller sends a header and no more; others are served meanwhile, and its
--- a/internal/coordination/route/subset.go
+++ b/internal/coordination/route/subset.go
@@ -9,7 +9,7 @@
 	"bluebellcrank/internal/state/target"
 )
 
-// ownCentrePart is the part of a subset, one in so many, that comes from
+// otherCentresPart is the part of a subset, one in so many, that comes from
 // other data centres.
 const otherCentresPart = 4
 
