--- a/cmd/standin/target.go
+++ b/cmd/standin/target.go
@@ -34,6 +34,7 @@
 	Leaving bool   `json:"leaving"`
 	HangMs  int    `json:"hang-ms"`
 	Burst   int    `json:"burst"`
+	Failing bool   `json:"failing"`
 }
 
 // run is one line of the run log: the truth about what ran.
@@ -182,6 +183,10 @@
 		defer t.end()
 		time.Sleep(t.cmd.Token)
 		ctx.SetContentType("application/json")
+		if f.Failing {
+			ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+			return
+		}
 		text := plainAnswer(token)
 		ctx.SetBodyString(text)
 		if f.CutAt > 0 && f.CutAt < len(text) {
--- a/cmd/standin/target_test.go
+++ b/cmd/standin/target_test.go
@@ -303,3 +303,24 @@
 		_ = f.client.Do(req, resp)
 	}
 }
+
+// Answers that say that the target failed prove nothing of what it bears.
+func TestFailingTargetStaysCold(t *testing.T) {
+	c := qt.New(t)
+	f := testFleet(t)
+	must(t, f.addTarget("bells-1", "bells", "east"), f.addEntry("entry-1", "east"), f.publish())
+	push(t, f, map[string]string{"10.yaml": withKey(coldConfig)})
+	must(t, f.ready("entry-1", "bells"))
+	must(t, f.post("http://"+f.targets["bells-1"]+"/faults", targetFaults{Failing: true}))
+	for range 100 {
+		got, err := f.send("entry-1", "GET", "/bells/tower", "", nil)
+		c.Assert(err, qt.IsNil)
+		c.Check(got.status, qt.Equals, 500)
+	}
+	c.Check(limitOf(f, "bells-1"), qt.Equals, 4)
+	must(t, f.post("http://"+f.targets["bells-1"]+"/faults", targetFaults{}))
+	for range 100 {
+		_, _ = f.send("entry-1", "GET", "/bells/tower", "", nil)
+	}
+	c.Check(limitOf(f, "bells-1"), qt.Equals, 24)
+}
