--- a/cmd/standin/caller_test.go
+++ b/cmd/standin/caller_test.go
@@ -146,9 +146,7 @@
 func TestRefusalsWhoseAnswerWasLost(t *testing.T) {
 	c := qt.New(t)
 	f := testFleet(t)
-	must(t, f.addTarget("bells-1", "bells", "east"), f.addEntry("entry-1", "east"), f.publish())
-	push(t, f, map[string]string{"10.yaml": withKey(coldConfig)})
-	must(t, f.ready("entry-1", "bells"))
+	oneBell(t, f)
 	must(t, f.post("http://"+f.platform+"/faults", platformFaults{LoseAnswers: 1, LosePrefix: "refusals/"}))
 	first, _ := f.send("entry-1", "GET", "/organ/x", "", nil)
 	must(t, waitFor(func() bool {
@@ -210,9 +208,7 @@
 func TestRefusalsSurviveAnOutage(t *testing.T) {
 	c := qt.New(t)
 	f := testFleet(t)
-	must(t, f.addTarget("bells-1", "bells", "east"), f.addEntry("entry-1", "east"), f.publish())
-	push(t, f, map[string]string{"10.yaml": withKey(coldConfig)})
-	must(t, f.ready("entry-1", "bells"))
+	oneBell(t, f)
 	must(t, f.post("http://"+f.platform+"/faults", platformFaults{Down: true}))
 	got, _ := f.send("entry-1", "GET", "/organ/x", "", nil)
 	c.Assert(got.reason, qt.Equals, "unknown-service")
--- a/cmd/standin/target_test.go
+++ b/cmd/standin/target_test.go
@@ -76,6 +76,13 @@
 	return fmt.Sprintf("served %d, refused %d, unknown %d, broken off %d", p.served.Load(), p.refused.Load(), p.unknown.Load(), p.broken.Load())
 }
 
+// oneBell starts one bell control behind one entry.
+func oneBell(t *testing.T, f *fleet) {
+	must(t, f.addTarget("bells-1", "bells", "east"), f.addEntry("entry-1", "east"), f.publish())
+	push(t, f, map[string]string{"10.yaml": withKey(coldConfig)})
+	must(t, f.ready("entry-1", "bells"))
+}
+
 func both() []string { return []string{"entry-1", "entry-2"} }
 
 // twoCentres starts bell controls and one entry in each data centre.
@@ -308,9 +315,7 @@
 func TestFailingTargetStaysCold(t *testing.T) {
 	c := qt.New(t)
 	f := testFleet(t)
-	must(t, f.addTarget("bells-1", "bells", "east"), f.addEntry("entry-1", "east"), f.publish())
-	push(t, f, map[string]string{"10.yaml": withKey(coldConfig)})
-	must(t, f.ready("entry-1", "bells"))
+	oneBell(t, f)
 	must(t, f.post("http://"+f.targets["bells-1"]+"/faults", targetFaults{Failing: true}))
 	for range 100 {
 		got, err := f.send("entry-1", "GET", "/bells/tower", "", nil)
--- a/internal/transport/entry/dispatch.go
+++ b/internal/transport/entry/dispatch.go
@@ -57,23 +57,44 @@
 	peer        string
 }
 
+// tries are how a call is offered to one target after another.
+type tries struct {
+	// next offers it to the next target, and says whether there was one.
+	next func() (try, bool)
+	// spend takes a retry from the budget.
+	spend func() bool
+}
+
 // dispatch offers a call to targets until one answers it, or refuses it.
 func (e *Entry) dispatch(c *call) (*answer, *refusal.Refusal) {
+	return e.offer(c, tries{
+		next: func() (try, bool) {
+			candidate := e.pick(c)
+			if candidate == nil {
+				return try{}, false
+			}
+			return e.try(c, candidate), true
+		},
+		spend: e.spend,
+	})
+}
+
+// offer goes from try to try until a call is answered or refused.
+func (e *Entry) offer(c *call, to tries) (*answer, *refusal.Refusal) {
 	if refused := e.screen(c); refused != nil {
 		return nil, refused
 	}
 	var last *refusal.Refusal
 	uncertain := false
 	for n := 0; n < maxTries; n++ {
-		candidate := e.pick(c)
-		if candidate == nil {
-			break
-		}
 		if !time.Now().Before(c.deadline) {
 			last = c.refuse(refusal.TimedOut, refusal.NotRun, "the deadline passed before a target took the request")
 			break
 		}
-		t := e.try(c, candidate)
+		t, found := to.next()
+		if !found {
+			break
+		}
 		switch t.verdict {
 		case answered:
 			a, err := e.take(c, t)
@@ -90,7 +111,7 @@
 			continue
 		}
 		uncertain = true
-		if c.keyed() || !time.Now().Before(c.deadline) || !e.spend() || e.screen(c) != nil {
+		if c.keyed() || !time.Now().Before(c.deadline) || !to.spend() || e.screen(c) != nil {
 			break
 		}
 	}
