The entry on the users' platform: store adapter, gateway, balance

Ruled out: bending the existing entry, whose way of a request goes through agents that plain services do not have there.

--- a/cmd/bluebellcrank/main.go
+++ b/cmd/bluebellcrank/main.go
@@ -34,6 +34,7 @@
 type commands struct {
 	Entry    entryCmd    `cmd:"" help:"Run the daemon between callers and targets."`
 	Agent    agentCmd    `cmd:"" help:"Run the daemon beside one target."`
+	Gateway  gatewayCmd  `cmd:"" help:"Run the entry on the users' platform."`
 	Check    checkCmd    `cmd:"" help:"Check a folder of configuration."`
 	Push     pushCmd     `cmd:"" help:"Make a folder the configuration in force."`
 	Pull     pullCmd     `cmd:"" help:"Write the configuration in force into a folder."`
--- /dev/null
+++ b/internal/coordination/balance/dump.go
@@ -0,0 +1,39 @@
+package balance
+
+import (
+	"cmp"
+	"slices"
+)
+
+// TargetState is what a dump shows of a target.
+type TargetState struct {
+	ID         string `yaml:"id"`
+	Service    string `yaml:"service"`
+	DataCentre string `yaml:"data-centre"`
+	Group      string `yaml:"group"`
+	Leaving    bool   `yaml:"leaving"`
+	InFlight   int    `yaml:"in-flight"`
+	Failures   int    `yaml:"failures"`
+	PaceMs     int64  `yaml:"pace-ms"`
+}
+
+// Targets returns the state of all targets in the order of their ids.
+func (f *Fleet) Targets() []TargetState {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []TargetState
+	for id, m := range f.members {
+		out = append(out, TargetState{
+			ID:         id,
+			Service:    m.target.Service,
+			DataCentre: m.target.DataCentre,
+			Group:      m.group.name,
+			Leaving:    m.target.Leaving,
+			InFlight:   m.own,
+			Failures:   m.failures,
+			PaceMs:     m.group.pace.mean.Milliseconds(),
+		})
+	}
+	slices.SortFunc(out, func(a, b TargetState) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
--- /dev/null
+++ b/internal/coordination/balance/fleet.go
@@ -0,0 +1,297 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"bluebellcrank/internal/state/fleet"
+)
+
+// Verdict says why a request has no target now.
+type Verdict string
+
+const (
+	// Granted requests have a target.
+	Granted Verdict = "granted"
+	// Full says that targets are there but have no room.
+	Full Verdict = "full"
+	// Absent says that no target may be used.
+	Absent Verdict = "absent"
+)
+
+// Need is what a request needs of a target.
+type Need struct {
+	Service string
+	// Stream requests keep a target for long.
+	Stream bool
+	// Pause is the longest good pause between a stream's events.
+	Pause time.Duration
+	// Priority ranks waiting requests, 0 first.
+	Priority int
+	// PerSecond bounds the sends of this entry to one target; 0 is no limit.
+	PerSecond int
+	// Resumed streams have begun and do not wait for a good pace.
+	Resumed bool
+	// Tried are the ids of the targets that are not to be chosen.
+	Tried []string
+}
+
+// Lease is a request's place at a target until Done.
+type Lease struct {
+	fleet  *Fleet
+	member *member
+	since  time.Time
+	done   bool
+}
+
+// Target returns the target.
+func (l *Lease) Target() fleet.Target { return l.member.target }
+
+// Fleet is what an entry knows of the targets; it is safe for concurrent use.
+type Fleet struct {
+	random *rand.Rand
+
+	mu       sync.Mutex
+	members  map[string]*member
+	services map[string][]*member
+	groups   map[string]*group
+	out      map[string]bool
+	queue    []*Ticket
+}
+
+// NewFleet returns a fleet without targets.
+func NewFleet(random *rand.Rand) *Fleet {
+	return &Fleet{
+		random:   random,
+		members:  map[string]*member{},
+		services: map[string][]*member{},
+		groups:   map[string]*group{},
+		out:      map[string]bool{},
+	}
+}
+
+// Replace takes the whole list of targets; those that are not on it are gone.
+func (f *Fleet) Replace(targets []fleet.Target, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	listed := map[string]bool{}
+	for _, t := range targets {
+		listed[t.ID] = true
+		f.set(t)
+	}
+	for id := range f.members {
+		if !listed[id] {
+			f.remove(id)
+		}
+	}
+	f.serveQueue(now)
+}
+
+// Change takes changes of the list.
+func (f *Fleet) Change(changes []fleet.Change, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range changes {
+		if c.Target == nil {
+			f.remove(c.ID)
+			continue
+		}
+		f.set(*c.Target)
+	}
+	f.serveQueue(now)
+}
+
+// SetOut takes the data centres that are out of service.
+func (f *Fleet) SetOut(out map[string]bool, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.out = out
+	f.serveQueue(now)
+}
+
+func (f *Fleet) set(t fleet.Target) {
+	m := f.members[t.ID]
+	if m != nil && m.target.Service != t.Service {
+		f.remove(t.ID)
+		m = nil
+	}
+	if m == nil {
+		m = &member{}
+		f.members[t.ID] = m
+		f.services[t.Service] = append(f.services[t.Service], m)
+	}
+	m.target = t
+	name := t.Group
+	if name == "" {
+		name = t.Service
+	}
+	if m.group == nil || m.group.name != name {
+		m.group = f.groupOf(name)
+	}
+}
+
+func (f *Fleet) groupOf(name string) *group {
+	g := f.groups[name]
+	if g == nil {
+		g = &group{name: name}
+		f.groups[name] = g
+	}
+	return g
+}
+
+func (f *Fleet) remove(id string) {
+	m := f.members[id]
+	if m == nil {
+		return
+	}
+	m.gone = true
+	delete(f.members, id)
+	s := m.target.Service
+	f.services[s] = slices.DeleteFunc(f.services[s], func(o *member) bool { return o == m })
+	if len(f.services[s]) == 0 {
+		delete(f.services, s)
+	}
+}
+
+// Pick takes the best target for a request.
+func (f *Fleet) Pick(n Need, now time.Time) (*Lease, Verdict) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.pick(n, now)
+}
+
+func (f *Fleet) pick(n Need, now time.Time) (*Lease, Verdict) {
+	var best *member
+	bestScore := 0.0
+	verdict := Absent
+	for _, m := range f.services[n.Service] {
+		if !m.usable(f.out) || slices.Contains(n.Tried, m.target.ID) {
+			continue
+		}
+		if m.suspended(now) || now.Before(m.group.until) {
+			continue
+		}
+		verdict = Full
+		if !f.room(m, n, now) {
+			continue
+		}
+		if s := f.score(m, n, now); best == nil || s < bestScore {
+			best, bestScore = m, s
+		}
+	}
+	if best == nil {
+		return nil, verdict
+	}
+	best.own++
+	best.sends = append(best.sends, now)
+	if n.Stream {
+		best.group.pace.admitted(now)
+	}
+	return &Lease{fleet: f, member: best, since: now}, Granted
+}
+
+func (f *Fleet) room(m *member, n Need, now time.Time) bool {
+	if !m.withinRate(n.PerSecond, now) {
+		return false
+	}
+	if m.target.Slots > 0 && m.load(now) >= m.target.Slots {
+		return false
+	}
+	return !n.Stream || n.Resumed || m.group.pace.open(n.Pause, now)
+}
+
+// score is lower for better targets: for streams first the pace of the group
+// and then the load of the rank, else the time in which the target works off
+// what it has.
+func (f *Fleet) score(m *member, n Need, now time.Time) float64 {
+	jitter := f.random.Float64()
+	load := float64(m.load(now))
+	if n.Stream {
+		const perStream = 0.15 // ranks of a group share most of their work
+		return m.group.pace.expected(now).Seconds()*1e3 + perStream*stepCost.Seconds()*1e3*(load*4+jitter*2)
+	}
+	latency := max(m.latency, time.Millisecond).Seconds()
+	return (load + 1 + jitter/2) * latency
+}
+
+// Observe takes a pause between two events of a stream at a lease's target.
+func (l *Lease) Observe(pause time.Duration, now time.Time) {
+	f := l.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l.member.group.pace.observe(pause, now)
+	f.serveQueue(now)
+}
+
+// Report takes a target's own word about its requests.
+func (l *Lease) Report(running, waiting int, now time.Time) {
+	f := l.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l.member.others = max(0, running+waiting-l.member.own)
+	l.member.othersAt = now
+}
+
+// Outcome is how a request ended at a target.
+type Outcome int
+
+const (
+	// Answered requests got an answer of the target.
+	Answered Outcome = iota
+	// Refused requests were turned away by the target for want of room.
+	Refused
+	// Failed requests got no answer, or none to trust.
+	Failed
+	// Abandoned requests were ended by this entry or its caller.
+	Abandoned
+	// Moved says that another target has the address.
+	Moved
+)
+
+// Done ends the lease.
+func (l *Lease) Done(o Outcome, latency time.Duration, now time.Time) {
+	f := l.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if l.done {
+		return
+	}
+	l.done = true
+	m := l.member
+	m.own--
+	switch o {
+	case Answered:
+		m.answered(latency)
+	case Refused:
+		m.until = later(m.until, now.Add(refusedFor))
+	case Failed:
+		m.failed(now)
+	case Moved:
+		f.remove(m.target.ID)
+	}
+	f.serveQueue(now)
+}
+
+// SuspendGroup keeps new work off the group of a target for a time.
+func (l *Lease) SuspendGroup(until time.Time) {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	l.member.group.until = later(l.member.group.until, until)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Usable reports whether a target may still be sent a request: it is there,
+// is not leaving, and its data centre is in service.
+func (l *Lease) Usable() bool {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	return l.member.usable(l.fleet.out)
+}
--- /dev/null
+++ b/internal/coordination/balance/member.go
@@ -0,0 +1,89 @@
+package balance
+
+import (
+	"time"
+
+	"bluebellcrank/internal/state/fleet"
+)
+
+const (
+	// reportLife is how long a target's own word about its load is used.
+	reportLife = 2 * time.Second
+	// latencyWeight is the weight of one answer in the average latency.
+	latencyWeight = 0.2
+	// firstSuspension doubles with each failure up to lastSuspension: from
+	// the time of a restart to that of a longer outage.
+	firstSuspension = 500 * time.Millisecond
+	lastSuspension  = 4 * time.Second
+	// rateWindow is the window of a cold target's rate.
+	rateWindow = time.Second
+	// refusedFor is how long a target that refused for want of room is left.
+	refusedFor = 100 * time.Millisecond
+)
+
+// member is one target as this entry sees it.
+type member struct {
+	target fleet.Target
+	group  *group
+	gone   bool
+	// own is the number of requests in flight from this entry.
+	own int
+	// others is the number of requests from elsewhere, as of othersAt.
+	others   int
+	othersAt time.Time
+	latency  time.Duration
+	failures int
+	until    time.Time
+	sends    []time.Time
+}
+
+// group is the targets that share a pace.
+type group struct {
+	name    string
+	pace    pace
+	until   time.Time
+	members int
+}
+
+func (m *member) load(now time.Time) int {
+	if now.Sub(m.othersAt) < reportLife {
+		return m.own + m.others
+	}
+	return m.own
+}
+
+// usable reports whether the target may get new work at all.
+func (m *member) usable(out map[string]bool) bool {
+	return !m.gone && !m.target.Leaving && !out[m.target.DataCentre]
+}
+
+// suspended reports whether the target is left alone after failures; once
+// the time is over a single request tries it.
+func (m *member) suspended(now time.Time) bool {
+	return now.Before(m.until) || m.failures > 0 && m.own > 0
+}
+
+func (m *member) failed(now time.Time) {
+	m.until = now.Add(min(firstSuspension<<min(m.failures, 4), lastSuspension))
+	m.failures++
+}
+
+func (m *member) answered(latency time.Duration) {
+	m.failures = 0
+	if latency <= 0 {
+		return
+	}
+	if m.latency == 0 {
+		m.latency = latency
+		return
+	}
+	m.latency += time.Duration(latencyWeight * float64(latency-m.latency))
+}
+
+// withinRate reports whether a send keeps within a number a second.
+func (m *member) withinRate(perSecond int, now time.Time) bool {
+	for len(m.sends) > 0 && now.Sub(m.sends[0]) >= rateWindow {
+		m.sends = m.sends[1:]
+	}
+	return perSecond <= 0 || len(m.sends) < perSecond
+}
--- /dev/null
+++ b/internal/state/fleet/doc.go
@@ -0,0 +1,2 @@
+// Package fleet holds which targets there are.
+package fleet
--- /dev/null
+++ b/internal/transport/follower/follower.go
@@ -0,0 +1,228 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"bluebellcrank/internal/state/event"
+	"bluebellcrank/internal/state/fleet"
+	"bluebellcrank/internal/state/routing"
+	"bluebellcrank/internal/transport/process"
+	"bluebellcrank/platform"
+)
+
+const (
+	// configWait bounds the age of the proof that a key still stands; a
+	// watch's answer counts as one call whether or not there was news.
+	configWait = 1500 * time.Millisecond
+	// targetsWait bounds how long a silent connection hides that a target
+	// leaves, within the 2 s that a deployment allows.
+	targetsWait = time.Second
+	// outWait does the same for data centres, within their 5 s.
+	outWait = 2500 * time.Millisecond
+	// retryPause is the time between calls that fail.
+	retryPause = 150 * time.Millisecond
+)
+
+// Sink takes what the follower learns; its functions are called from several
+// goroutines.
+type Sink struct {
+	// Replace takes the whole list of targets.
+	Replace func(targets []fleet.Target, now time.Time)
+	// Change takes changes of the list.
+	Change func(changes []fleet.Change, now time.Time)
+	// Out takes all data centres that are out of service.
+	Out func(out map[string]bool, now time.Time)
+}
+
+// Follower follows the store until it is closed.
+type Follower struct {
+	store *platform.Store
+	sink  Sink
+	log   hclog.Logger
+
+	table     atomic.Pointer[routing.Table]
+	proof     atomic.Int64
+	listed    atomic.Bool
+	outListed atomic.Bool
+	lost      atomic.Bool
+
+	stop   context.CancelFunc
+	ending sync.WaitGroup
+}
+
+// New starts to follow a store.
+func New(s *platform.Store, sink Sink, log hclog.Logger) *Follower {
+	ctx, stop := context.WithCancel(context.Background())
+	f := &Follower{store: s, sink: sink, log: log, stop: stop}
+	f.proof.Store(int64(-time.Hour))
+	for _, follow := range []func(context.Context) error{f.followConfig, f.followTargets, f.followOut} {
+		f.ending.Go(func() { f.repeat(ctx, follow) })
+	}
+	return f
+}
+
+// Close stops following.
+func (f *Follower) Close() {
+	f.stop()
+	f.ending.Wait()
+}
+
+// Table returns the configuration in force, or nil before the first.
+func (f *Follower) Table() *routing.Table { return f.table.Load() }
+
+// Age returns how old the proof is that the configuration is the newest one,
+// at a boot time.
+func (f *Follower) Age(boot time.Duration) time.Duration {
+	return boot - time.Duration(f.proof.Load())
+}
+
+// Complete reports whether everything was read once.
+func (f *Follower) Complete() bool {
+	return f.table.Load() != nil && f.listed.Load() && f.outListed.Load()
+}
+
+// repeat lists and watches one kind of object for ever.
+func (f *Follower) repeat(ctx context.Context, follow func(context.Context) error) {
+	for ctx.Err() == nil {
+		err := follow(ctx)
+		if err == nil || ctx.Err() != nil {
+			continue
+		}
+		if errors.Is(err, platform.ErrHistoryGone) {
+			event.HistoryGone.Log(f.log)
+			continue
+		}
+		if !f.lost.Swap(true) {
+			event.PlatformLost.Log(f.log, "error", err.Error())
+		}
+		select {
+		case <-time.After(retryPause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (f *Follower) answered() {
+	if f.lost.Swap(false) {
+		event.PlatformBack.Log(f.log)
+	}
+}
+
+// followConfig returns on the first error, after which it lists anew.
+func (f *Follower) followConfig(ctx context.Context) error {
+	asked := process.BootTime()
+	t, at, err := f.store.Config(ctx)
+	if err != nil {
+		return err
+	}
+	f.adopt(t)
+	f.prove(asked)
+	for fails := 0; ; {
+		asked = process.BootTime()
+		t, next, err := f.store.WatchConfig(ctx, at, configWait)
+		if err != nil {
+			if fails++; errors.Is(err, platform.ErrHistoryGone) || fails > 1 {
+				return err
+			}
+			continue
+		}
+		fails = 0
+		at = next
+		f.adopt(t)
+		f.prove(provenAt(asked, process.BootTime(), t != nil))
+	}
+}
+
+// provenAt is the boot time at which the store said that there is nothing
+// newer: an answer without news comes once the wait is over.
+func provenAt(asked, answered time.Duration, news bool) time.Duration {
+	if news || answered < asked+configWait {
+		return asked
+	}
+	return asked + configWait
+}
+
+func (f *Follower) prove(at time.Duration) {
+	f.proof.Store(max(f.proof.Load(), int64(at)))
+	f.answered()
+}
+
+func (f *Follower) adopt(t *routing.Table) {
+	if t == nil {
+		return
+	}
+	if old := f.table.Load(); old != nil && old.Version() >= t.Version() {
+		return
+	}
+	f.table.Store(t)
+	event.ConfigAdopted.Log(f.log, "version", t.Version())
+}
+
+func (f *Follower) followTargets(ctx context.Context) error {
+	list, faults, at, err := f.store.Targets(ctx)
+	if err != nil {
+		return err
+	}
+	f.report(faults)
+	f.sink.Replace(list, time.Now())
+	f.listed.Store(true)
+	for {
+		changes, faults, next, err := f.store.WatchTargets(ctx, at, targetsWait)
+		if err != nil {
+			return err
+		}
+		at = next
+		f.report(faults)
+		f.answered()
+		if len(changes) > 0 {
+			f.sink.Change(changes, time.Now())
+		}
+	}
+}
+
+func (f *Follower) report(faults []error) {
+	for _, err := range faults {
+		event.TargetInvalid.Log(f.log, "error", err.Error())
+	}
+}
+
+func (f *Follower) followOut(ctx context.Context) error {
+	out, at, err := f.store.Evacuations(ctx)
+	if err != nil {
+		return err
+	}
+	f.setOut(out)
+	f.outListed.Store(true)
+	for {
+		changes, next, err := f.store.WatchEvacuations(ctx, at, outWait)
+		if err != nil {
+			return err
+		}
+		at = next
+		if len(changes) == 0 {
+			continue
+		}
+		merged := map[string]bool{}
+		for name, is := range out {
+			merged[name] = is
+		}
+		for name, is := range changes {
+			merged[name] = is
+		}
+		out = merged
+		f.setOut(out)
+	}
+}
+
+func (f *Follower) setOut(out map[string]bool) {
+	for name, is := range out {
+		event.DataCentreOut.Log(f.log, "data-centre", name, "out", is)
+	}
+	f.sink.Out(out, time.Now())
+}
--- /dev/null
+++ b/internal/transport/gateway/exchange.go
@@ -0,0 +1,202 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"bluebellcrank/internal/coordination/balance"
+	"bluebellcrank/internal/state/event"
+	"bluebellcrank/internal/state/refusal"
+	"bluebellcrank/internal/state/routing"
+	"bluebellcrank/internal/transport/process"
+	"bluebellcrank/internal/transport/upstream"
+	"bluebellcrank/platform"
+)
+
+// exchange is one request of a client and what was tried for it.
+type exchange struct {
+	gateway *Gateway
+	writer  http.ResponseWriter
+	request *http.Request
+	ask     platform.Ask
+	table   *routing.Table
+	route   *routing.Route
+	service string
+	account string
+	// priority ranks the request, 0 first.
+	priority int
+	body     []byte
+	began    time.Time
+	deadline time.Time
+	// goal is when the answer or the first event earns its full worth.
+	goal time.Time
+
+	// sends counts sends that a target may have run or refused.
+	sends int
+	tried []string
+	// uncertain says that a target may have run the request.
+	uncertain bool
+	// begun says that a part of the answer has gone to the client.
+	begun bool
+	// firstByte is when that was.
+	firstByte time.Time
+	target    string
+	lastEvent string
+}
+
+// need says what the request needs of its next target.
+func (x *exchange) need() balance.Need {
+	n := balance.Need{
+		Service:   x.service,
+		Stream:    x.route.Kind == routing.Stream,
+		Priority:  x.priority,
+		PerSecond: x.gateway.perTarget(x.table.Service(x.service)),
+		Resumed:   x.lastEvent != "",
+		Tried:     x.tried,
+	}
+	if n.Stream {
+		n.Pause = x.route.PauseGoal
+	}
+	return n
+}
+
+const (
+	// queueShare is the part of the time to the goal for which a request
+	// waits for room.
+	queueShare = 0.3
+	// queueMost is how many requests wait for a service at one entry.
+	queueMost = 12
+)
+
+// place waits a little for a place at a target.
+func (x *exchange) place(ctx context.Context, now time.Time) (*balance.Lease, balance.Verdict) {
+	f := x.gateway.fleet
+	l, v := f.Pick(x.need(), now)
+	if v != balance.Full {
+		return l, v
+	}
+	wait := time.Duration(queueShare * float64(x.goal.Sub(now)))
+	if wait <= 0 {
+		return nil, v
+	}
+	ticket := f.Wait(x.need(), queueMost)
+	if ticket == nil {
+		return nil, v
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case l := <-ticket.Granted():
+		x.gateway.metrics.waits.UpdateDuration(now)
+		return l, balance.Granted
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	if l := f.Cancel(ticket); l != nil {
+		return l, balance.Granted
+	}
+	return nil, v
+}
+
+// send sends the request once to a lease's target. A target that must not get
+// it any more, or a key without proof, keeps it from being sent.
+func (x *exchange) send(ctx context.Context, l *balance.Lease) (*upstream.Response, platform.Answer, error) {
+	t := l.Target()
+	x.target = t.ID
+	x.tried = append(x.tried, t.ID)
+	now := time.Now()
+	header := platform.ForwardHeader(x.request.Header, platform.Send{
+		Target:    t.ID,
+		Account:   x.account,
+		Left:      x.deadline.Sub(now),
+		LastEvent: x.lastEvent,
+	})
+	recent := time.Hour
+	if !x.route.Repeatable() {
+		recent = freshEnough
+	}
+	res, err := x.gateway.pool.Do(ctx, &upstream.Request{
+		Address: t.Address,
+		Method:  x.request.Method,
+		URI:     x.request.RequestURI,
+		Host:    x.request.Host,
+		Header:  header,
+		Body:    x.body,
+		Recent:  recent,
+		Mine: func(h http.Header) bool {
+			got := platform.ReadAnswer(http.StatusOK, h).Attempt
+			return got == "" || got == x.ask.Attempt
+		},
+	})
+	if err != nil {
+		return nil, platform.Answer{}, err
+	}
+	a := platform.ReadAnswer(res.StatusCode, res.Header)
+	if a.Load != nil {
+		l.Report(a.Load.Running, a.Load.Waiting, time.Now())
+	}
+	return res, a, nil
+}
+
+// freshEnough is the idle time up to which a connection is trusted with a
+// request that may run only once: a target that has closed it would leave
+// open whether the request ran.
+const freshEnough = 800 * time.Millisecond
+
+// allowed reports whether the request may go to the target at this moment.
+func (x *exchange) allowed(l *balance.Lease) bool {
+	return l.Usable() && (x.account == "" || x.gateway.proven())
+}
+
+// refuse ends the request with an answer of our own; a request that a target
+// may have run is never said not to have run.
+func (x *exchange) refuse(reason refusal.Reason, retryAfter time.Duration) {
+	status := reason.Status()
+	if x.uncertain && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
+		reason = refusal.ConnectionLost
+		status = reason.Status()
+	}
+	if status != http.StatusServiceUnavailable {
+		retryAfter = 0
+	}
+	platform.StampRefusal(x.writer.Header(), x.ask.Attempt, retryAfter)
+	text := string(reason) + "\n"
+	x.writer.Header().Set("Content-Type", "text/plain")
+	x.writer.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	x.writer.WriteHeader(status)
+	// The client may have left; there is nobody else to tell.
+	_, _ = x.writer.Write([]byte(text))
+	x.ended(status, string(reason))
+}
+
+// ended writes the one line that explains the request afterwards.
+func (x *exchange) ended(status int, reason string) {
+	g := x.gateway
+	g.metrics.ended(status, reason)
+	g.metrics.requests.UpdateDuration(x.began)
+	var route string
+	if x.route != nil {
+		route = x.route.Name
+	}
+	var version int64
+	if x.table != nil {
+		version = x.table.Version()
+	}
+	first := time.Duration(0)
+	if x.begun {
+		first = x.firstByte.Sub(x.began)
+	}
+	event.RequestDone.Log(g.log, "id", x.ask.Attempt, "route", route, "service", x.service,
+		"account", x.account, "target", x.target, "status", status, "reason", reason,
+		"sends", x.sends, "uncertain", x.uncertain, "first-ms", first.Milliseconds(),
+		"total-ms", time.Since(x.began).Milliseconds(), "config", version,
+		"proof-age-ms", g.follower.Age(process.BootTime()).Milliseconds())
+}
+
+// comeBack spreads the return of refused clients between the two times.
+func comeBack(soonest, latest time.Duration) time.Duration {
+	return soonest + rand.N(latest-soonest)
+}
--- /dev/null
+++ b/internal/transport/gateway/gateway.go
@@ -0,0 +1,248 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/go-hclog"
+
+	"bluebellcrank/internal/coordination/balance"
+	"bluebellcrank/internal/coordination/retry"
+	"bluebellcrank/internal/state/event"
+	"bluebellcrank/internal/state/instance"
+	"bluebellcrank/internal/state/routing"
+	"bluebellcrank/internal/transport/follower"
+	"bluebellcrank/internal/transport/process"
+	"bluebellcrank/internal/transport/upstream"
+	"bluebellcrank/platform"
+)
+
+const (
+	// housekeeping is the time between looks at idle connections and queues.
+	housekeeping = 250 * time.Millisecond
+	// rotationTime is how long callers still come after this entry says that
+	// it stops: two missed questions, one a second, and a margin.
+	rotationTime = 2500 * time.Millisecond
+	// graceMargin is the time before the kill at which the process ends.
+	graceMargin = 400 * time.Millisecond
+	// headerTimeout is how long a client may take for a header until the
+	// configuration says so.
+	headerTimeout = 5 * time.Second
+	// slowReader ends the connection of a client that reads nothing.
+	slowReader = 5 * time.Second
+	// proofMargin is how much sooner than the bound for removed keys an entry
+	// without proof stops serving keys: a watch may miss a second of changes,
+	// and a request takes some time to a target.
+	proofMargin = 1500 * time.Millisecond
+	// staleAfter is the age of the configuration from which a missing route
+	// or key may be news that has not arrived.
+	staleAfter = 2 * time.Second
+	// entriesEvery is the time between two reads of the list of entries.
+	entriesEvery = 20 * time.Second
+	// entriesUnknown is the number of entries until the list was read; more
+	// than there are makes the shares smaller.
+	entriesUnknown = 32
+)
+
+// Gateway is a running entry.
+type Gateway struct {
+	settings instance.Settings
+	log      hclog.Logger
+	store    *platform.Store
+	follower *follower.Follower
+	fleet    *balance.Fleet
+	pool     *upstream.Pool
+	metrics  *meters
+	clients  *clientConns
+
+	traffic *http.Server
+	ready   *http.Server
+
+	entries  atomic.Int64
+	draining atomic.Bool
+	wasReady atomic.Bool
+
+	mu     sync.Mutex
+	shares map[string]*retry.Share
+
+	stop   context.CancelFunc
+	ending sync.WaitGroup
+}
+
+// Listeners are an entry's sockets.
+type Listeners struct {
+	// Traffic is where callers connect.
+	Traffic net.Listener
+	// Ready is where the platform asks for readiness.
+	Ready net.Listener
+	// Operator serves metrics; nil for none.
+	Operator net.Listener
+}
+
+// New starts an entry.
+func New(s instance.Settings, log hclog.Logger, l Listeners, dropped func() uint64) *Gateway {
+	ctx, stop := context.WithCancel(context.Background())
+	set := metrics.NewSet()
+	g := &Gateway{
+		settings: s,
+		log:      log,
+		store:    platform.NewStore(s.StoreAddress),
+		fleet:    balance.NewFleet(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		metrics:  newMeters(set, dropped),
+		clients:  newClientConns(),
+		shares:   map[string]*retry.Share{},
+		stop:     stop,
+	}
+	g.entries.Store(entriesUnknown)
+	g.pool = upstream.NewPool(g.metrics.opened.Inc)
+	g.follower = follower.New(g.store, follower.Sink{
+		Replace: g.fleet.Replace,
+		Change:  g.fleet.Change,
+		Out:     g.fleet.SetOut,
+	}, log)
+	g.ready = &http.Server{Handler: http.HandlerFunc(g.answerReady), ReadHeaderTimeout: headerTimeout}
+	g.traffic = &http.Server{
+		Handler:           http.HandlerFunc(g.serve),
+		ReadHeaderTimeout: headerTimeout,
+		ConnState:         g.clients.changed,
+	}
+	g.ending.Go(func() { g.run(g.ready, l.Ready) })
+	g.ending.Go(func() { g.run(g.traffic, process.SlowWriters(l.Traffic, slowReader)) })
+	g.ending.Go(func() { process.Every(housekeeping, ctx.Done(), g.keepHouse) })
+	g.ending.Go(func() { g.followEntries(ctx) })
+	if l.Operator != nil {
+		process.NewOperator(l.Operator, set, process.NewView(g.isReady, g.dump))
+	}
+	event.ProcessStarted.Log(log, "data-centre", s.DataCentre, "traffic", s.TrafficListen)
+	return g
+}
+
+func (g *Gateway) run(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
+		event.ListenerFailed.Log(g.log, "error", err.Error())
+	}
+}
+
+// followEntries keeps the number of entries that share the common budgets.
+func (g *Gateway) followEntries(ctx context.Context) {
+	registered := false
+	for ctx.Err() == nil {
+		pause := housekeeping
+		if !registered {
+			err := g.store.Register(ctx, g.settings.Name, g.settings.Address, g.settings.DataCentre)
+			registered = err == nil || err == platform.ErrConflict
+			if !registered {
+				event.StoreWrite.Log(g.log, "error", err.Error())
+			}
+		}
+		if registered {
+			if list, err := g.store.Entries(ctx); err == nil {
+				g.entries.Store(int64(max(len(list), 1)))
+				pause = entriesEvery
+			}
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (g *Gateway) keepHouse(now time.Time) {
+	g.fleet.Poll(now)
+	g.pool.Sweep(now)
+	if t := g.follower.Table(); t != nil && t.Limits().IdleTimeout > 0 {
+		g.clients.closeIdle(t.Limits().IdleTimeout, now)
+	}
+	if ready := g.isReady(); g.wasReady.Swap(ready) != ready {
+		event.ReadyChanged.Log(g.log, "ready", ready, "proof-age-ms", g.follower.Age(process.BootTime()).Milliseconds())
+	}
+}
+
+// proven reports whether keys can still be served: the store said recently
+// enough that the configuration is the newest one.
+func (g *Gateway) proven() bool {
+	return g.follower.Age(process.BootTime()) <= g.settings.Bounds.Revocation-proofMargin
+}
+
+func (g *Gateway) isReady() bool {
+	if g.draining.Load() || !g.follower.Complete() {
+		return false
+	}
+	return !g.follower.Table().Keyed() || g.proven()
+}
+
+func (g *Gateway) answerReady(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path != platform.ReadyPath:
+		w.WriteHeader(http.StatusNotFound)
+	case !g.isReady():
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// Drain sends callers elsewhere and returns when nothing is in flight or the
+// kill is near.
+func (g *Gateway) Drain() {
+	began := time.Now()
+	g.draining.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), g.settings.Bounds.Grace-graceMargin)
+	defer cancel()
+	if err := g.store.Deregister(ctx, g.settings.Name); err != nil {
+		event.StoreWrite.Log(g.log, "error", err.Error())
+	}
+	time.Sleep(min(rotationTime, g.settings.Bounds.Grace/3) - time.Since(began))
+	if err := g.traffic.Shutdown(ctx); err != nil {
+		event.AnswerBroken.Log(g.log, "error", err.Error())
+	}
+}
+
+// Close ends at once.
+func (g *Gateway) Close() {
+	g.stop()
+	_ = g.traffic.Close()
+	_ = g.ready.Close()
+	g.follower.Close()
+	g.ending.Wait()
+}
+
+// spend takes one repeated send to a service from this entry's share.
+func (g *Gateway) spend(service string, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.share(service).Spend(now)
+}
+
+func (g *Gateway) first(service string, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.share(service).First(now)
+}
+
+func (g *Gateway) share(service string) *retry.Share {
+	s := g.shares[service]
+	if s == nil {
+		b := g.settings.Bounds
+		s = retry.NewShare(b.RetryRatio, b.RetryExtra, b.RetryWindow)
+		g.shares[service] = s
+	}
+	s.SetEntries(int(g.entries.Load()))
+	return s
+}
+
+// perTarget is this entry's part of the rate that a cold target bears, kept
+// for all targets of the service since any may turn cold unnoticed.
+func (g *Gateway) perTarget(s *routing.Service) int {
+	if s == nil || s.ColdPerSecond <= 0 {
+		return 0
+	}
+	b := g.settings.Bounds
+	const share = 0.8 // the rest is for entries that have just restarted
+	return max(1, int(share*(s.ColdPerSecond*b.ColdFactor+b.ColdExtra)/float64(g.entries.Load())))
+}
