Expert maps: agents beside the engines balance their rank groups

Cause: on map 0 one expert takes 30 in 100 of a layer set, the most loaded rank 3.1 times the mean, and a pass lasts longer than the pause that the sheet allows.

--- a/cmd/bluebellcrank/main.go
+++ b/cmd/bluebellcrank/main.go
@@ -35,6 +35,7 @@
 	Entry    entryCmd    `cmd:"" help:"Run the daemon between callers and targets."`
 	Agent    agentCmd    `cmd:"" help:"Run the daemon beside one target."`
 	Gateway  gatewayCmd  `cmd:"" help:"Run the entry on the users' platform."`
+	Rank     rankCmd     `cmd:"" help:"Run the agent beside a model engine on the users' platform."`
 	Check    checkCmd    `cmd:"" help:"Check a folder of configuration."`
 	Push     pushCmd     `cmd:"" help:"Make a folder the configuration in force."`
 	Pull     pullCmd     `cmd:"" help:"Write the configuration in force into a folder."`
--- /dev/null
+++ b/cmd/bluebellcrank/rank.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"errors"
+	"net"
+	"strconv"
+
+	"bluebellcrank/internal/transport/process"
+	"bluebellcrank/internal/transport/rankagent"
+)
+
+const usageRank = `
+Run the agent beside a model engine on the users' platform: it balances the
+experts of the engine's rank group. The settings file is the platform's own;
+its path stands in the environment.
+`
+
+type rankCmd struct {
+	OperatorPort int    `name:"operator-port" default:"9464" help:"Port of metrics, health and dump; 0 is none."`
+	LogLevel     string `name:"log-level" default:"info" enum:"trace,debug,info,warn,error" help:"Lowest level that is logged."`
+}
+
+// Help implements kong.HelpProvider.
+func (rankCmd) Help() string { return usageRank }
+
+// Run implements the subcommand.
+func (c *rankCmd) Run() error {
+	s, err := platformSettings()
+	if err != nil {
+		return err
+	}
+	if s.Engine == "" {
+		return errors.New("the settings name no engine on this instance")
+	}
+	limitMemory(s)
+	peers, err := net.Listen("tcp", net.JoinHostPort(s.Address, strconv.Itoa(s.FirstPort)))
+	if err != nil {
+		return err
+	}
+	operator, err := operatorListener(s, c.OperatorPort)
+	if err != nil {
+		return err
+	}
+	log, w := platformLog(s.Name, c.LogLevel)
+	process.Run(rankagent.New(s, log, peers, operator, w.Dropped), log)
+	return nil
+}
--- /dev/null
+++ b/internal/coordination/mapswitch/switch.go
@@ -0,0 +1,306 @@
+package mapswitch
+
+import (
+	"time"
+
+	"bluebellcrank/internal/state/expert"
+)
+
+// Kind is what an order has a rank do.
+type Kind string
+
+const (
+	// Prepare loads the experts of the new map.
+	Prepare Kind = "prepare"
+	// Hold keeps the group from beginning the step.
+	Hold Kind = "hold"
+	// Arm uses the map from the step on.
+	Arm Kind = "arm"
+	// Disarm takes an Arm back.
+	Disarm Kind = "disarm"
+	// Fence prepares the map that is in force under a higher version, so that
+	// a late Arm finds its own version no longer prepared.
+	Fence Kind = "fence"
+	// Release lets the group begin the step.
+	Release Kind = "release"
+	// Look only reads the rank's state.
+	Look Kind = "look"
+)
+
+// Order is one order to one rank.
+type Order struct {
+	Rank    int
+	Kind    Kind
+	Version int64
+	Step    int64
+}
+
+// Stage is how far a change is.
+type Stage string
+
+const (
+	// Preparing waits until every rank has loaded its experts.
+	Preparing Stage = "preparing"
+	// Holding waits until the step is held.
+	Holding Stage = "holding"
+	// Arming waits until every rank is armed.
+	Arming Stage = "arming"
+	// Committing releases the step on which all ranks switch.
+	Committing Stage = "committing"
+	// Aborting waits until no rank is armed, or can be by a late order.
+	Aborting Stage = "aborting"
+	// Yielding releases the step of a change that was given up.
+	Yielding Stage = "yielding"
+	// Committed is the end of a change that all ranks made.
+	Committed Stage = "committed"
+	// Failed is the end of a change that no rank made.
+	Failed Stage = "failed"
+)
+
+// stepMargin is how many passes ahead the step is: enough for the hold and the
+// arms to arrive before it, in two rounds of messages.
+const stepMargin = 2
+
+// Limits are how long the stages may take before a change is given up.
+type Limits struct {
+	// Prepare is for loading the experts.
+	Prepare time.Duration
+	// Arm is for holding and arming; the group may stand still meanwhile.
+	Arm time.Duration
+}
+
+// Switch is one change of a group's map. It is not safe for concurrent use.
+type Switch struct {
+	epoch   int64
+	version int64
+	holder  int
+	limits  Limits
+	stage   Stage
+	since   time.Time
+	step    int64
+	reports []*expert.RankReport
+	// unsure are the ranks where an Arm may still be carried out.
+	unsure []bool
+}
+
+// New starts a change to a version that is higher than any that a rank of the
+// group has had; the version after it is used as well. The holder is the rank
+// that holds the step.
+func New(epoch, version int64, holder, ranks int, l Limits, now time.Time) *Switch {
+	return &Switch{
+		epoch:   epoch,
+		version: version,
+		holder:  holder,
+		limits:  l,
+		stage:   Preparing,
+		since:   now,
+		reports: make([]*expert.RankReport, ranks),
+		unsure:  make([]bool, ranks),
+	}
+}
+
+// Recover takes over from a coordinator that is gone while a rank holds a
+// step: every rank may be armed, or be so by a late order.
+func Recover(epoch, version, step int64, holder, ranks int, now time.Time) *Switch {
+	s := New(epoch, version, holder, ranks, Limits{}, now)
+	s.stage = Aborting
+	s.step = step
+	for r := range s.unsure {
+		s.unsure[r] = true
+	}
+	return s
+}
+
+// Stage returns how far the change is.
+func (s *Switch) Stage() Stage { return s.stage }
+
+// Version returns the new map's version.
+func (s *Switch) Version() int64 { return s.version }
+
+// Step returns the step on which the ranks switch; 0 before it is chosen.
+func (s *Switch) Step() int64 { return s.step }
+
+// Ended reports whether nothing is left to do.
+func (s *Switch) Ended() bool { return s.stage == Committed || s.stage == Failed }
+
+// fence is the version under which the map in force is prepared again.
+func (s *Switch) fence() int64 { return s.version + 1 }
+
+// Orders returns what to send now; each is sent again until a report shows
+// that it was carried out.
+func (s *Switch) Orders(now time.Time) []Order {
+	s.advance(now)
+	var out []Order
+	for r := range s.reports {
+		if o := s.order(r); o.Kind != "" {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+func (s *Switch) order(rank int) Order {
+	r := s.reports[rank]
+	o := Order{Rank: rank, Version: s.version, Step: s.step}
+	switch s.stage {
+	case Preparing:
+		o.Kind = Prepare
+		if r != nil {
+			o.Kind = Look
+		}
+		if r != nil && r.Prepared == s.version {
+			o.Kind = ""
+		}
+	case Holding:
+		if rank == s.holder {
+			o.Kind = Hold
+		}
+	case Arming:
+		if r == nil || r.Armed != s.version {
+			o.Kind = Arm
+		}
+	case Aborting:
+		o.Kind, o.Version = s.undo(rank)
+	case Committing, Yielding:
+		if rank == s.holder {
+			o.Kind = Release
+		}
+	}
+	return o
+}
+
+// undo returns what a rank still needs before the held step may begin without
+// the new map.
+func (s *Switch) undo(rank int) (Kind, int64) {
+	r := s.reports[rank]
+	switch {
+	case r == nil:
+		return Look, 0
+	case r.Armed != 0:
+		return Disarm, r.Armed
+	case s.unsure[rank] && r.Prepared != s.fence():
+		return Fence, s.fence()
+	}
+	return "", 0
+}
+
+// Report takes a rank's state as it was read after an order; answered says
+// whether the engine answered that order.
+func (s *Switch) Report(o Order, r expert.RankReport, answered bool, now time.Time) {
+	if s.Ended() {
+		return
+	}
+	if r.Epoch != s.epoch || !r.Open {
+		// A group that forms anew has forgotten what it held and armed, and
+		// refuses orders of the epoch before.
+		s.enter(Failed, now)
+		return
+	}
+	if o.Kind == Arm && !answered {
+		s.unsure[o.Rank] = true
+	}
+	s.reports[o.Rank] = &r
+	if o.Kind == Prepare && !answered && r.Prepared != s.version {
+		// The order is sent again; the engine refuses a second copy of it.
+		s.reports[o.Rank] = nil
+	}
+	s.advance(now)
+}
+
+// Unanswered notes that a rank's state could not be read after an order.
+func (s *Switch) Unanswered(o Order) {
+	if o.Kind == Arm {
+		s.unsure[o.Rank] = true
+	}
+	if s.stage == Aborting {
+		s.reports[o.Rank] = nil
+	}
+}
+
+func (s *Switch) enter(next Stage, now time.Time) {
+	s.stage, s.since = next, now
+}
+
+// all reports whether a condition holds for the last report of every rank.
+func (s *Switch) all(is func(r *expert.RankReport) bool) bool {
+	for _, r := range s.reports {
+		if r == nil || !is(r) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Switch) advance(now time.Time) {
+	spent := now.Sub(s.since)
+	switch s.stage {
+	case Preparing:
+		switch {
+		case s.all(func(r *expert.RankReport) bool { return r.Prepared == s.version }):
+			s.choose()
+			s.enter(Holding, now)
+		case spent > s.limits.Prepare:
+			s.enter(Failed, now)
+		}
+	case Holding:
+		s.advanceHold(now, spent)
+	case Arming:
+		switch {
+		case s.all(func(r *expert.RankReport) bool { return r.Armed == s.version }):
+			s.enter(Committing, now)
+		case spent > s.limits.Arm:
+			s.abort(now)
+		}
+	case Aborting:
+		for r := range s.reports {
+			if k, _ := s.undo(r); k != "" {
+				return
+			}
+		}
+		s.enter(Yielding, now)
+	case Committing, Yielding:
+		s.advanceRelease(now)
+	}
+}
+
+// choose takes a step that no rank has begun.
+func (s *Switch) choose() {
+	for _, r := range s.reports {
+		s.step = max(s.step, r.Step+stepMargin)
+	}
+}
+
+// advanceHold goes on once the step is held. A step that began before the hold
+// arrived is given up for a later one: the late hold is refused then.
+func (s *Switch) advanceHold(now time.Time, spent time.Duration) {
+	h := s.reports[s.holder]
+	switch {
+	case h.Held == s.step:
+		s.enter(Arming, now)
+	case spent > s.limits.Arm:
+		// Nothing is armed, but the hold may still come.
+		s.abort(now)
+	case h.Step >= s.step:
+		s.choose()
+	}
+}
+
+// abort reads every rank anew before it undoes anything.
+func (s *Switch) abort(now time.Time) {
+	for r := range s.reports {
+		s.reports[r] = nil
+	}
+	s.enter(Aborting, now)
+}
+
+// advanceRelease ends the change once the holder holds nothing.
+func (s *Switch) advanceRelease(now time.Time) {
+	if h := s.reports[s.holder]; h == nil || h.Held != 0 {
+		return
+	}
+	if s.stage == Committing {
+		s.enter(Committed, now)
+		return
+	}
+	s.enter(Failed, now)
+}
--- /dev/null
+++ b/internal/coordination/placement/even.go
@@ -0,0 +1,339 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"bluebellcrank/internal/state/expert"
+)
+
+const (
+	// peakPower makes the sum of the ranks' loads to this power follow the
+	// most loaded rank, and still prefer to relieve the next ones.
+	peakPower = 8
+	// heavyTried is how many experts of a rank are tried for a copy.
+	heavyTried = 3
+	// coolTried is how many of the least loaded ranks are tried.
+	coolTried = 4
+	// leastGain is the part of the step time that a copy must save.
+	leastGain = 0.002
+)
+
+// Terms are the limits and costs of a change of an expert layout whose copies
+// share their expert's tokens evenly.
+type Terms struct {
+	// Places is how many experts of a layer set a rank holds at the most.
+	Places int
+	// MaxNew is how many experts of a layer set a rank may load in a change.
+	MaxNew int
+	// ExpertShare is the part of the step time that the experts take on a
+	// perfectly shared layout.
+	ExpertShare float64
+	// CopyTime is how long a rank takes to load one expert.
+	CopyTime time.Duration
+	// SwitchTime is how long a change takes beside its copies.
+	SwitchTime time.Duration
+	// Horizon is how long the popularity is expected to stay.
+	Horizon time.Duration
+}
+
+// copySlowdown is by how much passes take longer while experts are loaded, by
+// the platform's word.
+const copySlowdown = 1.15
+
+// Rebalance answers a load whose favourite experts change every few seconds:
+// it returns the layout with the lowest mean step time over the horizon, for
+// which few copies now may beat many copies later. Popularity is the tokens of
+// each expert by layer set, speed 1 for a sound rank. It reports false where
+// no change pays.
+func Rebalance(from expert.Layout, popularity [][]float64, speed []float64, t Terms) (expert.Layout, bool) {
+	before := stepTime(from, popularity, speed, t)
+	stay := before * t.Horizon.Seconds()
+	best, bestCost := expert.Layout(nil), stay
+	for copies := 1; copies <= t.MaxNew*len(from); copies *= 2 {
+		next, loaded := relieve(from, popularity, speed, t, copies)
+		if loaded == 0 {
+			break
+		}
+		wait := time.Duration(loaded)*t.CopyTime + t.SwitchTime
+		after := stepTime(next, popularity, speed, t)
+		cost := after * max(0, t.Horizon-wait).Seconds()
+		cost += before * (copySlowdown*float64(loaded)*t.CopyTime.Seconds() + t.SwitchTime.Seconds())
+		if cost < bestCost {
+			best, bestCost = next, cost
+		}
+		if loaded < copies {
+			break
+		}
+	}
+	const worthwhile = 0.97
+	return best, best != nil && bestCost < worthwhile*stay
+}
+
+// Skew returns the most loaded rank's part over the mean, over all layer sets.
+func Skew(l expert.Layout, popularity [][]float64) float64 {
+	sum := 0.0
+	for s := range l {
+		b := newSetBalance(l[s], popularity[s], nil)
+		sum += slices.Max(b.load) * float64(len(b.load))
+	}
+	return sum / float64(len(l))
+}
+
+// stepTime is the length of a step, where 1 is that of a perfect layout.
+func stepTime(l expert.Layout, popularity [][]float64, speed []float64, t Terms) float64 {
+	sum := 0.0
+	for s := range l {
+		b := newSetBalance(l[s], popularity[s], speed)
+		sum += b.slowest() * float64(len(b.load))
+	}
+	return 1 - t.ExpertShare + t.ExpertShare*sum/float64(len(l))
+}
+
+// setBalance is one layer set while its copies are placed.
+type setBalance struct {
+	ranks  [][]int
+	part   []float64
+	copies []int
+	load   []float64
+	speed  []float64
+	fresh  []int
+	loaded map[[2]int]bool
+}
+
+func newSetBalance(ranks [][]int, popularity, speed []float64) *setBalance {
+	b := &setBalance{
+		ranks:  make([][]int, len(ranks)),
+		part:   make([]float64, len(popularity)),
+		copies: make([]int, len(popularity)),
+		load:   make([]float64, len(ranks)),
+		speed:  speed,
+		fresh:  make([]int, len(ranks)),
+		loaded: map[[2]int]bool{},
+	}
+	total := 0.0
+	for _, p := range popularity {
+		total += p
+	}
+	for e, p := range popularity {
+		b.part[e] = 1 / float64(len(popularity))
+		if total > 0 {
+			b.part[e] = p / total
+		}
+	}
+	for r, experts := range ranks {
+		b.ranks[r] = slices.Clone(experts)
+		for _, e := range experts {
+			b.copies[e]++
+		}
+	}
+	for r, experts := range b.ranks {
+		for _, e := range experts {
+			b.load[r] += b.part[e] / float64(b.copies[e])
+		}
+	}
+	return b
+}
+
+func (b *setBalance) time(r int) float64 {
+	if b.speed == nil {
+		return b.load[r]
+	}
+	return b.load[r] / b.speed[r]
+}
+
+func (b *setBalance) slowest() float64 {
+	most := 0.0
+	for r := range b.load {
+		most = max(most, b.time(r))
+	}
+	return most
+}
+
+// peak is close to the slowest rank's time.
+func (b *setBalance) peak() float64 {
+	sum := 0.0
+	for r := range b.load {
+		sum += math.Pow(b.time(r), peakPower)
+	}
+	return math.Pow(sum, 1.0/peakPower)
+}
+
+// add and drop change the copies of an expert and all loads that follow.
+func (b *setBalance) add(e, rank int) {
+	b.spread(e, -1)
+	b.ranks[rank] = append(b.ranks[rank], e)
+	b.copies[e]++
+	b.spread(e, 1)
+}
+
+func (b *setBalance) drop(e, rank int) {
+	b.spread(e, -1)
+	b.ranks[rank] = slices.DeleteFunc(b.ranks[rank], func(o int) bool { return o == e })
+	b.copies[e]--
+	b.spread(e, 1)
+}
+
+func (b *setBalance) spread(e int, sign float64) {
+	each := sign * b.part[e] / float64(max(b.copies[e], 1))
+	for r, experts := range b.ranks {
+		if slices.Contains(experts, e) {
+			b.load[r] += each
+		}
+	}
+}
+
+// move is one new copy and what makes room for it.
+type move struct {
+	set    int
+	expert int
+	to     int
+	// evict is the expert that leaves the rank, or -1.
+	evict int
+	// from is the rank that gives its copy up, or -1.
+	from int
+	gain float64
+}
+
+// relieve places copies, at most so many on each rank, where they relieve the
+// slowest ranks most; it returns the most that one rank has to load.
+func relieve(from expert.Layout, popularity [][]float64, speed []float64, t Terms, copies int) (expert.Layout, int) {
+	sets := make([]*setBalance, len(from))
+	next := make([]move, len(from))
+	used := make([]int, len(from[0]))
+	for s := range from {
+		sets[s] = newSetBalance(from[s], popularity[s], speed)
+		next[s] = sets[s].best(t, used, copies)
+	}
+	for range copies * len(used) {
+		pick := -1
+		for s := range next {
+			if next[s].gain > 0 && (pick < 0 || next[s].gain > next[pick].gain) {
+				pick = s
+			}
+		}
+		if pick < 0 {
+			break
+		}
+		m := next[pick]
+		if used[m.to] >= copies {
+			next[pick] = sets[pick].best(t, used, copies)
+			continue
+		}
+		sets[pick].apply(m)
+		sets[pick].fresh[m.to]++
+		sets[pick].loaded[[2]int{m.expert, m.to}] = true
+		used[m.to]++
+		next[pick] = sets[pick].best(t, used, copies)
+	}
+	out := make(expert.Layout, len(sets))
+	for s, b := range sets {
+		out[s] = b.ranks
+	}
+	return out, slices.Max(used)
+}
+
+func (b *setBalance) apply(m move) {
+	if m.evict >= 0 {
+		b.drop(m.evict, m.to)
+	}
+	b.add(m.expert, m.to)
+	if m.from >= 0 {
+		b.drop(m.expert, m.from)
+	}
+}
+
+func (b *setBalance) revert(m move) {
+	if m.from >= 0 {
+		b.add(m.expert, m.from)
+	}
+	b.drop(m.expert, m.to)
+	if m.evict >= 0 {
+		b.add(m.evict, m.to)
+	}
+}
+
+// best returns the copy that relieves the slowest rank most; its gain is 0
+// where none does.
+func (b *setBalance) best(t Terms, used []int, copies int) move {
+	before := b.peak()
+	slow := b.slowestRank()
+	best := move{}
+	for _, e := range b.heaviest(slow) {
+		for _, to := range b.coolest(t, used, copies, e) {
+			for _, m := range b.ways(e, slow, to, t) {
+				b.apply(m)
+				m.gain = (before - b.peak()) * float64(len(b.load))
+				b.revert(m)
+				if m.gain > best.gain && m.gain > leastGain {
+					best = m
+				}
+			}
+		}
+	}
+	return best
+}
+
+// ways are a further copy of an expert on a rank and a move of the only copy
+// that the slow rank has.
+func (b *setBalance) ways(e, slow, to int, t Terms) []move {
+	evict := -1
+	if len(b.ranks[to]) >= t.Places {
+		evict = b.leastUsed(to)
+		if evict < 0 {
+			return nil
+		}
+	}
+	out := []move{{expert: e, to: to, evict: evict, from: -1}}
+	if !b.loaded[[2]int{e, slow}] {
+		out = append(out, move{expert: e, to: to, evict: evict, from: slow})
+	}
+	return out
+}
+
+func (b *setBalance) slowestRank() int {
+	slow := 0
+	for r := range b.load {
+		if b.time(r) > b.time(slow) {
+			slow = r
+		}
+	}
+	return slow
+}
+
+func (b *setBalance) heaviest(rank int) []int {
+	on := slices.Clone(b.ranks[rank])
+	slices.SortFunc(on, func(x, y int) int {
+		return cmp.Compare(b.part[y]/float64(b.copies[y]), b.part[x]/float64(b.copies[x]))
+	})
+	return on[:min(len(on), heavyTried)]
+}
+
+// coolest are the least loaded ranks that may load a copy of an expert.
+func (b *setBalance) coolest(t Terms, used []int, copies, e int) []int {
+	var out []int
+	for r := range b.load {
+		if used[r] < copies && b.fresh[r] < t.MaxNew && !slices.Contains(b.ranks[r], e) {
+			out = append(out, r)
+		}
+	}
+	slices.SortStableFunc(out, func(x, y int) int { return cmp.Compare(b.time(x), b.time(y)) })
+	return out[:min(len(out), coolTried)]
+}
+
+// leastUsed is the expert on a full rank that has other copies and adds least
+// to them, or -1; one that is being loaded stays.
+func (b *setBalance) leastUsed(rank int) int {
+	best, least := -1, 0.0
+	for _, e := range b.ranks[rank] {
+		if b.copies[e] < 2 || b.loaded[[2]int{e, rank}] {
+			continue
+		}
+		if each := b.part[e] / float64(b.copies[e]-1); best < 0 || each < least {
+			best, least = e, each
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/transport/rankagent/agent.go
@@ -0,0 +1,193 @@
+package rankagent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/go-hclog"
+
+	"bluebellcrank/internal/coordination/mapswitch"
+	"bluebellcrank/internal/protocol/peer"
+	"bluebellcrank/internal/state/event"
+	"bluebellcrank/internal/state/instance"
+	"bluebellcrank/internal/transport/process"
+	"bluebellcrank/platform"
+)
+
+const (
+	// orderTimeout is above the time that an engine on the same machine takes
+	// to answer; an order without an answer is sent again.
+	orderTimeout = 150 * time.Millisecond
+	// peerTimeout bounds a call to another agent: an order, a report, and the
+	// way.
+	peerTimeout = 500 * time.Millisecond
+	// lockLife is how long a silent leader keeps other leaders out; longer
+	// than any of its calls.
+	lockLife = 1200 * time.Millisecond
+	// lockStagger keeps agents from leading at the same time.
+	lockStagger = 300 * time.Millisecond
+)
+
+// Agent is a running agent.
+type Agent struct {
+	settings instance.Settings
+	log      hclog.Logger
+	store    *platform.Store
+	engine   *platform.Engine
+	peers    *peer.Pool
+	server   *peer.Server
+	changes  *metrics.Counter
+	failures *metrics.Counter
+
+	// serial keeps the orders of two leaders apart.
+	serial sync.Mutex
+	lock   lock
+
+	draining atomic.Bool
+	stop     context.CancelFunc
+	ending   sync.WaitGroup
+}
+
+// lock says which leader an agent takes orders from.
+type lock struct {
+	mu     sync.Mutex
+	leader string
+	rank   int
+	at     time.Time
+}
+
+// take renews or takes the lock, and returns the rank of who has it.
+func (l *lock) take(leader string, rank int, now time.Time) (bool, int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.leader != leader && now.Sub(l.at) < lockLife {
+		return false, l.rank
+	}
+	l.leader, l.rank, l.at = leader, rank, now
+	return true, rank
+}
+
+// free reports whether nobody has held the lock for a time.
+func (l *lock) free(silence time.Duration, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.at) >= silence
+}
+
+// New starts an agent whose peers connect to a listener.
+func New(s instance.Settings, log hclog.Logger, l, operator net.Listener, dropped func() uint64) *Agent {
+	ctx, stop := context.WithCancel(context.Background())
+	set := metrics.NewSet()
+	set.NewGauge("bluebellcrank_log_lines_dropped", func() float64 { return float64(dropped()) })
+	a := &Agent{
+		settings: s,
+		log:      log,
+		store:    platform.NewStore(s.StoreAddress),
+		engine:   platform.NewEngine(s.Engine, orderTimeout),
+		peers:    peer.NewPool(peerTimeout),
+		changes:  set.NewCounter("bluebellcrank_map_changes_total"),
+		failures: set.NewCounter("bluebellcrank_map_changes_failed_total"),
+		stop:     stop,
+	}
+	a.lock.at = time.Now()
+	mux := peer.NewMux()
+	peer.Handle(mux, methodSample, a.sample)
+	peer.Handle(mux, methodOrder, a.order)
+	a.server = peer.Serve(l, mux, a.peers.Bytes())
+	a.ending.Go(func() { newLeader(a).run(ctx) })
+	if operator != nil {
+		process.NewOperator(operator, set, process.NewView(func() bool { return !a.draining.Load() }, a.dump))
+	}
+	event.ProcessStarted.Log(log, "data-centre", s.DataCentre, "engine", s.Engine)
+	return a
+}
+
+// sample answers a leader.
+func (a *Agent) sample(ctx context.Context, r sampleRequest) (sampleReply, error) {
+	granted, holder := a.lock.take(r.Leader, r.Rank, time.Now())
+	if !granted {
+		return sampleReply{Holder: holder}, nil
+	}
+	report, err := a.engine.Report(ctx)
+	if err != nil {
+		return sampleReply{}, err
+	}
+	counts, err := a.engine.Counts(ctx)
+	if err != nil {
+		return sampleReply{}, err
+	}
+	out := sampleReply{Granted: true, Holder: holder, Report: &report, Counts: counts}
+	if r.Experts {
+		if out.Experts, err = a.engine.Experts(ctx); err != nil {
+			return sampleReply{}, err
+		}
+	}
+	return out, nil
+}
+
+// order gives the engine an order of the leader and reads what came of it.
+func (a *Agent) order(ctx context.Context, r orderRequest) (orderReply, error) {
+	a.serial.Lock()
+	defer a.serial.Unlock()
+	if granted, _ := a.lock.take(r.Leader, 0, time.Now()); !granted {
+		return orderReply{}, nil
+	}
+	err := a.give(ctx, r)
+	out := orderReply{Granted: true, Answered: err == nil || errors.Is(err, platform.ErrOrderRefused)}
+	if !out.Answered {
+		event.EngineUnreached.Log(a.log, "order", string(r.Order.Kind), "version", r.Order.Version, "error", err.Error())
+	}
+	report, err := a.engine.Report(ctx)
+	if err != nil {
+		event.EngineUnreached.Log(a.log, "error", err.Error())
+		return out, nil
+	}
+	out.Report = &report
+	return out, nil
+}
+
+func (a *Agent) give(ctx context.Context, r orderRequest) error {
+	o := r.Order
+	switch o.Kind {
+	case mapswitch.Prepare, mapswitch.Fence:
+		return a.engine.Prepare(ctx, r.Epoch, o.Version, r.Layout)
+	case mapswitch.Arm:
+		return a.engine.Arm(ctx, r.Epoch, o.Version, o.Step)
+	case mapswitch.Disarm:
+		return a.engine.Disarm(ctx, r.Epoch, o.Version)
+	case mapswitch.Hold:
+		return a.engine.Hold(ctx, r.Epoch, o.Step)
+	case mapswitch.Release:
+		return a.engine.Release(ctx, r.Epoch, o.Step)
+	case mapswitch.Look:
+		return nil
+	}
+	return fmt.Errorf("rankagent: unknown order %q", o.Kind)
+}
+
+func (a *Agent) dump() string {
+	a.lock.mu.Lock()
+	defer a.lock.mu.Unlock()
+	return fmt.Sprintf("instance: %s\nleader: %s\nchanges: %d\nfailed: %d\n", a.settings.Name, a.lock.leader, a.changes.Get(), a.failures.Get())
+}
+
+// Drain starts no more changes and returns when none is under way.
+func (a *Agent) Drain() {
+	a.draining.Store(true)
+	a.stop()
+	a.ending.Wait()
+}
+
+// Close ends at once.
+func (a *Agent) Close() {
+	a.stop()
+	a.ending.Wait()
+	a.server.Close()
+	a.peers.Close()
+}
--- /dev/null
+++ b/internal/transport/rankagent/change.go
@@ -0,0 +1,123 @@
+package rankagent
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"bluebellcrank/internal/coordination/mapswitch"
+	"bluebellcrank/internal/coordination/placement"
+	"bluebellcrank/internal/protocol/peer"
+	"bluebellcrank/internal/state/event"
+	"bluebellcrank/internal/state/expert"
+)
+
+// change has the group use another layout.
+func (l *leader) change(ctx context.Context, next expert.Layout, now time.Time) {
+	a := l.agent
+	l.highest = max(l.highest+2, version(now))
+	loads := mostLoads(l.layout, next)
+	limits := mapswitch.Limits{
+		Prepare: 2*time.Duration(loads)*l.profile.CopyTime + prepareMargin,
+		Arm:     armFor,
+	}
+	event.SwitchStarted.Log(a.log, "group", l.self.Group, "epoch", l.epoch, "version", l.highest, "loads", loads,
+		"skew", placement.Skew(l.layout, l.popularity), "skew-after", placement.Skew(next, l.popularity))
+	s := mapswitch.New(l.epoch, l.highest, l.self.Rank, len(l.samples), limits, now)
+	l.drive(ctx, s, next)
+	if s.Stage() == mapswitch.Committed {
+		l.layout, l.version = next, s.Version()
+	}
+	l.highest = max(l.highest, s.Version()+1)
+	event.SwitchEnded.Log(a.log, "version", s.Version(), "stage", string(s.Stage()), "step", s.Step(), "ms", time.Since(now).Milliseconds())
+}
+
+// mostLoads is how many experts one rank has to load at the most.
+func mostLoads(from, to expert.Layout) int {
+	loads := make([]int, len(from[0]))
+	for s := range from {
+		for r, on := range to[s] {
+			for _, e := range on {
+				if !slices.Contains(from[s][r], e) {
+					loads[r]++
+				}
+			}
+		}
+	}
+	return slices.Max(loads)
+}
+
+// drive sends the orders of a change until it has ended. A process that is
+// told to stop still ends a change that has begun.
+func (l *leader) drive(ctx context.Context, s *mapswitch.Switch, next expert.Layout) {
+	a := l.agent
+	patience := context.WithoutCancel(ctx)
+	sampled := time.Now()
+	for {
+		now := time.Now()
+		orders := s.Orders(now)
+		if s.Ended() {
+			break
+		}
+		answers := make([]*orderReply, len(l.addresses))
+		l.each(func(r int) {
+			for _, o := range orders {
+				if o.Rank == r {
+					answers[r] = l.send(patience, o, next)
+				}
+			}
+		})
+		for _, o := range orders {
+			l.report(s, o, answers[o.Rank])
+		}
+		if s.Stage() != mapswitch.Preparing {
+			continue
+		}
+		time.Sleep(lookPause)
+		if time.Since(sampled) >= sampleEvery && s.Stage() == mapswitch.Preparing {
+			sampled = time.Now()
+			l.sampleAll(patience, sampled)
+		}
+	}
+	if s.Stage() == mapswitch.Committed {
+		a.changes.Inc()
+		return
+	}
+	a.failures.Inc()
+	event.SwitchFailed.Log(a.log, "version", s.Version(), "step", s.Step())
+}
+
+// send has an agent give one order; nil says that it did not answer.
+func (l *leader) send(ctx context.Context, o mapswitch.Order, next expert.Layout) *orderReply {
+	a := l.agent
+	q := orderRequest{Leader: a.settings.Name, Epoch: l.epoch, Order: o}
+	switch o.Kind {
+	case mapswitch.Prepare:
+		q.Layout = next
+	case mapswitch.Fence:
+		q.Layout = l.layout
+	}
+	var out orderReply
+	var err error
+	if o.Rank == l.self.Rank {
+		out, err = a.order(ctx, q)
+	} else {
+		out, err = peer.Call[orderRequest, orderReply](a.peers, l.addresses[o.Rank], methodOrder, q)
+	}
+	if err != nil {
+		return nil
+	}
+	return &out
+}
+
+func (l *leader) report(s *mapswitch.Switch, o mapswitch.Order, a *orderReply) {
+	if a == nil || !a.Granted || a.Report == nil {
+		s.Unanswered(o)
+		if a == nil {
+			time.Sleep(roundPause)
+		}
+		return
+	}
+	l.highest = max(l.highest, a.Report.Version, a.Report.Prepared, a.Report.Armed)
+	s.Report(o, *a.Report, a.Answered, time.Now())
+}
--- /dev/null
+++ b/internal/transport/rankagent/leader.go
@@ -0,0 +1,314 @@
+package rankagent
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"bluebellcrank/internal/coordination/mapswitch"
+	"bluebellcrank/internal/coordination/placement"
+	"bluebellcrank/internal/protocol/peer"
+	"bluebellcrank/internal/state/event"
+	"bluebellcrank/internal/state/expert"
+	"bluebellcrank/internal/state/routing"
+)
+
+const (
+	// sampleEvery is the time between two looks at the counts; a pass of a
+	// loaded group takes about half of it.
+	sampleEvery = 200 * time.Millisecond
+	// roundPause is the time between two rounds of orders.
+	roundPause = 10 * time.Millisecond
+	// lookPause is the time between two looks at ranks that load experts.
+	lookPause = 60 * time.Millisecond
+	// listEvery is how old the addresses of the group may be.
+	listEvery = 10 * time.Second
+	// listAgain is the time between two lists while some rank is missing.
+	listAgain = time.Second
+	// memory is the part of the earlier counts that a new sample keeps.
+	memory = 0.3
+	// leastCounts is how many choices of a layer set make a popularity.
+	leastCounts = 2000
+	// armFor is how long a group may stand still for a change of its map:
+	// below the pause at which callers give up.
+	armFor = 400 * time.Millisecond
+	// prepareMargin is the time to load experts beside the copies' own.
+	prepareMargin = time.Second
+	// switchTime is what a change takes beside the copies: two samples and
+	// some rounds of messages.
+	switchTime = 200 * time.Millisecond
+	// horizon is how long favourites stay: some seconds on a busy day.
+	horizon = 2500 * time.Millisecond
+)
+
+// leader is an agent's part as the leader of its group; all of it runs on one
+// goroutine.
+type leader struct {
+	agent   *Agent
+	profile *routing.EngineProfile
+	self    expert.RankReport
+	// addresses are the agents of the group by rank.
+	addresses []string
+	listed    time.Time
+	samples   []*sampleReply
+	counts    [][]int64
+	epoch     int64
+	// layout is the map in force; nil where it is not known.
+	layout     expert.Layout
+	version    int64
+	highest    int64
+	popularity [][]float64
+	backOff    time.Time
+}
+
+func newLeader(a *Agent) *leader { return &leader{agent: a} }
+
+func (l *leader) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		now := time.Now()
+		l.work(ctx, now)
+		select {
+		case <-time.After(max(roundPause, sampleEvery-time.Since(now))):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// work looks at the group, and changes its map if that pays.
+func (l *leader) work(ctx context.Context, now time.Time) {
+	if !l.leads(ctx, now) || !l.prepare(ctx, now) || !l.sampleAll(ctx, now) {
+		return
+	}
+	for n, s := range l.samples {
+		if s.Report.Held != 0 {
+			l.highest = max(l.highest+2, version(now))
+			l.drive(ctx, mapswitch.Recover(l.epoch, l.highest, s.Report.Held, n, len(l.samples), now), l.layout)
+			return
+		}
+	}
+	if l.popularity == nil || !l.settled() {
+		return
+	}
+	next, worth := placement.Rebalance(l.layout, l.popularity, l.speeds(), l.terms())
+	if !worth {
+		return
+	}
+	l.change(ctx, next, now)
+}
+
+// leads reports whether this agent is to lead: nobody else has for a time
+// that grows with its rank.
+func (l *leader) leads(ctx context.Context, now time.Time) bool {
+	a := l.agent
+	if now.Before(l.backOff) {
+		return false
+	}
+	if l.addresses == nil || a.lock.free(lockLife, now) {
+		r, err := a.engine.Report(ctx)
+		if err != nil {
+			return false
+		}
+		l.self = r
+	}
+	granted := false
+	a.lock.mu.Lock()
+	granted = a.lock.leader == a.settings.Name
+	a.lock.mu.Unlock()
+	return granted || a.lock.free(lockLife+time.Duration(l.self.Rank)*lockStagger, now)
+}
+
+// prepare finds the group's agents and the engines' profile.
+func (l *leader) prepare(ctx context.Context, now time.Time) bool {
+	wait := listEvery
+	if !l.complete() {
+		wait = listAgain
+	}
+	if now.Sub(l.listed) < wait {
+		return l.complete()
+	}
+	l.listed = now
+	a := l.agent
+	if l.profile == nil {
+		t, _, err := a.store.Config(ctx)
+		if err != nil || t == nil {
+			return false
+		}
+		if s := t.Service(a.settings.Service); s != nil {
+			l.profile = s.Engine
+		}
+	}
+	if l.profile == nil || l.self.Ranks == 0 {
+		return false
+	}
+	ranks, err := a.store.RankAddresses(ctx, l.self.Group, l.self.Ranks)
+	if err != nil {
+		event.PlatformLost.Log(a.log, "error", err.Error())
+		return l.complete()
+	}
+	l.addresses = lo.Map(ranks, func(engine string, _ int) string {
+		host, _, err := net.SplitHostPort(engine)
+		if err != nil {
+			return ""
+		}
+		return net.JoinHostPort(host, strconv.Itoa(a.settings.FirstPort))
+	})
+	return l.complete()
+}
+
+// complete reports whether every rank's agent has an address.
+func (l *leader) complete() bool {
+	return len(l.addresses) > 0 && !lo.Contains(l.addresses, "")
+}
+
+// each calls f for every rank at the same time.
+func (l *leader) each(f func(rank int)) {
+	var all sync.WaitGroup
+	for r := range l.addresses {
+		all.Go(func() { f(r) })
+	}
+	all.Wait()
+}
+
+// sampleAll asks every agent; it reports whether all take orders from here
+// and the group is whole.
+func (l *leader) sampleAll(ctx context.Context, now time.Time) bool {
+	a := l.agent
+	l.samples = make([]*sampleReply, len(l.addresses))
+	q := sampleRequest{Leader: a.settings.Name, Rank: l.self.Rank, Experts: l.layout == nil}
+	l.each(func(r int) {
+		var s sampleReply
+		var err error
+		if r == l.self.Rank {
+			s, err = a.sample(ctx, q)
+		} else {
+			s, err = peer.Call[sampleRequest, sampleReply](a.peers, l.addresses[r], methodSample, q)
+		}
+		if err == nil {
+			l.samples[r] = &s
+		}
+	})
+	for _, s := range l.samples {
+		if s != nil && !s.Granted && s.Holder < l.self.Rank {
+			l.backOff = now.Add(lockLife)
+		}
+	}
+	if lo.SomeBy(l.samples, func(s *sampleReply) bool { return s == nil || !s.Granted }) {
+		return false
+	}
+	return l.take()
+}
+
+// take keeps what the samples say.
+func (l *leader) take() bool {
+	first := l.samples[0].Report
+	for n, s := range l.samples {
+		r := s.Report
+		if !r.Open || r.Epoch != first.Epoch || r.Group != l.self.Group || r.Rank != n {
+			l.layout, l.popularity, l.counts = nil, nil, nil
+			return false
+		}
+		l.highest = max(l.highest, r.Version, r.Prepared, r.Armed)
+	}
+	if first.Epoch != l.epoch || first.Version != l.version {
+		l.layout = nil
+	}
+	if first.Epoch != l.epoch {
+		l.counts = nil
+	}
+	l.epoch = first.Epoch
+	l.takeCounts()
+	return l.takeLayout(first.Version)
+}
+
+// takeLayout puts the map in force together from what the ranks hold.
+func (l *leader) takeLayout(version int64) bool {
+	if l.layout != nil {
+		return true
+	}
+	l.version = version
+	layout := make(expert.Layout, l.profile.Layers)
+	for _, s := range l.samples {
+		if s.Report.Version != version || len(s.Experts) != len(layout) {
+			return false
+		}
+		for set, on := range s.Experts {
+			layout[set] = append(layout[set], on)
+		}
+	}
+	l.layout = layout
+	return true
+}
+
+// takeCounts adds what was chosen since the last sample to the popularity, of
+// which it keeps a part.
+func (l *leader) takeCounts() {
+	sets, experts := l.profile.Layers, l.profile.Experts
+	if l.counts == nil {
+		l.counts = make([][]int64, len(l.samples))
+		l.popularity = nil
+	}
+	fresh := make([][]float64, sets)
+	for s := range fresh {
+		fresh[s] = make([]float64, experts)
+	}
+	total := 0.0
+	for n, s := range l.samples {
+		if len(s.Counts) != sets*experts {
+			continue
+		}
+		if before := l.counts[n]; before != nil {
+			for i, c := range s.Counts {
+				d := float64(max(0, c-before[i]))
+				fresh[i/experts][i%experts] += d
+				total += d
+			}
+		}
+		l.counts[n] = s.Counts
+	}
+	if total == 0 {
+		return
+	}
+	if l.popularity != nil {
+		for s := range fresh {
+			for e := range fresh[s] {
+				fresh[s][e] += memory * l.popularity[s][e]
+			}
+		}
+	}
+	l.popularity = fresh
+}
+
+// settled reports whether no rank is armed and all use the known map.
+func (l *leader) settled() bool {
+	return lo.EveryBy(l.samples, func(s *sampleReply) bool {
+		return s.Report.Armed == 0 && s.Report.Version == l.version
+	}) && lo.Sum(l.popularity[0]) >= leastCounts
+}
+
+func (l *leader) speeds() []float64 {
+	return lo.Map(l.samples, func(s *sampleReply, _ int) float64 {
+		if s.Report.Pace <= 0 {
+			return 1
+		}
+		return 1 / s.Report.Pace
+	})
+}
+
+func (l *leader) terms() placement.Terms {
+	p := l.profile
+	return placement.Terms{
+		Places:      p.Places,
+		MaxNew:      p.MaxNew,
+		ExpertShare: p.ExpertShare,
+		CopyTime:    p.CopyTime,
+		SwitchTime:  switchTime,
+		Horizon:     horizon,
+	}
+}
+
+// version makes numbers that rise whoever leads: milliseconds.
+func version(now time.Time) int64 { return now.UnixMilli() }
