--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -127,6 +127,8 @@
 	for {
 		e, id, err := events.next()
 		if err == io.EOF {
+			// A stream that was resumed behind its last event has no others.
+			x.begin(res, time.Now())
 			return nil
 		}
 		if err != nil {
--- /dev/null
+++ b/internal/transport/gateway/world_test.go
@@ -0,0 +1,167 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"bluebellcrank/internal/state/instance"
+	"bluebellcrank/platform/standin"
+)
+
+// world is an entry before stand-ins, as the platform would run it.
+type world struct {
+	t       *testing.T
+	c       *qt.C
+	store   *standin.Store
+	gateway *Gateway
+	address string
+	client  *http.Client
+	version int
+}
+
+type route struct {
+	name, kind, service string
+	targets             int
+	timeoutMs           int
+	resumable           bool
+}
+
+var (
+	order  = route{name: "order", kind: "non_idempotent", service: "bells", targets: 1, timeoutMs: 1000}
+	status = route{name: "status", kind: "idempotent", service: "bells", targets: 2, timeoutMs: 1000}
+	draft  = route{name: "draft", kind: "streaming", service: "drafts", targets: 2, timeoutMs: 8000, resumable: true}
+	// single streams may not be resumed.
+	single = route{name: "single", kind: "streaming", service: "drafts", targets: 2, timeoutMs: 8000}
+)
+
+const testKey = "key-of-guild"
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, c: qt.New(t), store: standin.NewStore(), client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
+	store := httptest.NewServer(w.store)
+	t.Cleanup(store.Close)
+	w.configure(testKey, order, status, draft, single)
+	l := Listeners{Traffic: w.listen(), Ready: w.listen()}
+	w.address = l.Traffic.Addr().String()
+	bounds := instance.Bounds{}.Defaults()
+	s := instance.Settings{
+		Name: "entry-1", Address: "127.0.0.1", DataCentre: "east", Bounds: bounds,
+		TrafficListen: w.address, ReadyListen: l.Ready.Addr().String(),
+		StoreAddress: strings.TrimPrefix(store.URL, "http://"),
+	}
+	w.gateway = New(s, hclog.NewNullLogger(), l, func() uint64 { return 0 })
+	t.Cleanup(w.gateway.Close)
+	w.eventually("the entry is ready", w.gateway.isReady)
+	return w
+}
+
+func (w *world) listen() net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	w.c.Assert(err, qt.IsNil)
+	return l
+}
+
+// addTargetAs starts a target of a service and lists it.
+func (w *world) addTargetAs(target *standin.Target, id, service string) string {
+	s := httptest.NewServer(target)
+	w.t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	w.list(id, service, s.URL, "serving")
+	return s.URL
+}
+
+// list writes a target's entry in the store.
+func (w *world) list(id, service, url, state string) {
+	w.store.Put("servers", id, map[string]any{
+		"service": service, "address": strings.TrimPrefix(url, "http://"), "zone": "east", "slots": 8, "state": state,
+	})
+}
+
+func (w *world) configure(key string, routes ...route) {
+	w.version++
+	var list []map[string]any
+	for _, r := range routes {
+		list = append(list, map[string]any{
+			"name": r.name, "host": "guild.example", "pathPrefix": "/" + r.name + "/", "routeKind": r.kind,
+			"service": r.service, "maxAttempts": r.targets, "timeoutMs": r.timeoutMs, "targetLatencyMs": 500,
+			"streamResumption": r.resumable, "gapAimMs": 120,
+		})
+	}
+	w.store.Put("config", "main", map[string]any{
+		"version": w.version, "routes": list,
+		"services": []map[string]any{{"name": "bells"}, {"name": "drafts"}},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "idleTimeoutMs": 15000},
+		"tenants":  []map[string]any{{"name": "guild", "apiKeys": []string{key}, "priority": 1}},
+	})
+}
+
+func (w *world) eventually(what string, is func() bool) {
+	for range 1000 {
+		if is() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	w.c.Fatalf("not within 10 s: %s", what)
+}
+
+// request builds a request of a route with an attempt id.
+func (w *world) request(r route, attempt, body string) *http.Request {
+	q, err := http.NewRequest(http.MethodPost, "http://"+w.address+"/"+r.name+"/x%2Fy?q=1", strings.NewReader(body))
+	w.c.Assert(err, qt.IsNil)
+	q.Host = "guild.example"
+	q.Header.Set("Attempt-Id", attempt)
+	q.Header.Set("Deadline-Ms", "4000")
+	q.Header.Set("Authorization", "Token "+testKey)
+	return q
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	// broken says that the body did not come whole.
+	broken bool
+}
+
+func (w *world) do(q *http.Request) reply {
+	a, err := w.client.Do(q)
+	if err != nil {
+		return reply{broken: true}
+	}
+	defer func() { _ = a.Body.Close() }()
+	body, err := io.ReadAll(a.Body)
+	return reply{status: a.StatusCode, header: a.Header, body: string(body), broken: err != nil}
+}
+
+// contextWithCancel lets a client leave.
+func contextWithCancel(q *http.Request) (context.Context, context.CancelFunc) {
+	return context.WithCancel(q.Context())
+}
+
+// scripted answers the first request with raw bytes, or a reset where there
+// are none, and later ones with events up to a number.
+func scripted(runs *int, first string, last int) func(http.ResponseWriter, *http.Request) {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		*runs++
+		switch {
+		case *runs > 1:
+			standin.Events(last, 0)(rw, r)
+		case first == "":
+			standin.Reset(rw, r)
+		default:
+			standin.Raw(first)(rw, r)
+		}
+	}
+}
