--- a/internal/transport/gateway/stream_test.go
+++ b/internal/transport/gateway/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,7 +53,7 @@
 			c := qt.New(t)
 			targets := []*standin.Target{{ID: "t-0"}, {ID: "t-1"}}
 			w := newWorld(t)
-			runs := 0
+			var runs atomic.Int32
 			for _, target := range targets {
 				target.ID = "d-" + target.ID
 				target.Answer = scripted(&runs, tt.answer, tt.second)
--- a/internal/transport/gateway/world_test.go
+++ b/internal/transport/gateway/world_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -152,11 +153,11 @@
 
 // scripted answers the first request with raw bytes, or a reset where there
 // are none, and later ones with events up to a number.
-func scripted(runs *int, first string, last int) func(http.ResponseWriter, *http.Request) {
+func scripted(runs *atomic.Int32, first string, last int) func(http.ResponseWriter, *http.Request) {
 	return func(rw http.ResponseWriter, r *http.Request) {
-		*runs++
+		n := runs.Add(1)
 		switch {
-		case *runs > 1:
+		case n > 1:
 			standin.Events(last, 0)(rw, r)
 		case first == "":
 			standin.Reset(rw, r)
