Agents repeat an unanswered order after 50 ms

Change: 50 ms, ten times an engine's usual answer on the same machine; the longest pause in the request's line.

--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -43,8 +43,10 @@
 	begun bool
 	// firstByte is when that was.
 	firstByte time.Time
-	target    string
-	lastEvent string
+	// longestPause is the longest time between two events of a target.
+	longestPause time.Duration
+	target       string
+	lastEvent    string
 }
 
 // need says what the request needs of its next target.
@@ -192,6 +194,7 @@
 	event.RequestDone.Log(g.log, "id", x.ask.Attempt, "route", route, "service", x.service,
 		"account", x.account, "target", x.target, "status", status, "reason", reason,
 		"sends", x.sends, "uncertain", x.uncertain, "first-ms", first.Milliseconds(),
+		"longest-pause-ms", x.longestPause.Milliseconds(),
 		"total-ms", time.Since(x.began).Milliseconds(), "config", version,
 		"proof-age-ms", g.follower.Age(process.BootTime()).Milliseconds())
 }
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -136,7 +136,10 @@
 		}
 		now := time.Now()
 		if !last.IsZero() {
-			l.Observe(now.Sub(last), now)
+			pause := now.Sub(last)
+			l.Observe(pause, now)
+			x.gateway.metrics.pauses.Update(pause.Seconds())
+			x.longestPause = max(x.longestPause, pause)
 		}
 		last = now
 		x.begin(res, now)
--- a/internal/transport/rankagent/agent.go
+++ b/internal/transport/rankagent/agent.go
@@ -23,7 +23,7 @@
 const (
 	// orderTimeout is above the time that an engine on the same machine takes
 	// to answer; an order without an answer is sent again.
-	orderTimeout = 150 * time.Millisecond
+	orderTimeout = 50 * time.Millisecond
 	// peerTimeout bounds a call to another agent: an order, a report, and the
 	// way.
 	peerTimeout = 500 * time.Millisecond
