Streams are admitted by the peaks of the pauses

Ruled out: a lower fixed share, which would refuse where favourites stay. Change: the limit is the goal times the ratio of the usual pause to its remembered peak; requests wait up to half the time to the goal for room.

--- a/internal/coordination/balance/pace.go
+++ b/internal/coordination/balance/pace.go
@@ -1,11 +1,18 @@
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
-	// paceWeight is the weight of one pause in the moving average; a rank
-	// group under load shows an entry a dozen pauses in each pass.
-	paceWeight = 0.12
+	// paceTime smooths the pauses over two or three passes.
+	paceTime = 150 * time.Millisecond
+	// usualTime smooths them over a change of favourite experts or two.
+	usualTime = 4 * time.Second
+	// peakTime is how long a peak is remembered: favourites that shift do so
+	// again within some seconds.
+	peakTime = 6 * time.Second
 	// paceLife is how long the last pause says something about the next one.
 	paceLife = 600 * time.Millisecond
 	// effectTime is how long a new stream takes to show in the pauses: about
@@ -15,26 +22,47 @@
 	// group: step time, context and its part of reading prompts.
 	stepCost = 1500 * time.Microsecond
 	// paceShare is the part of the longest good pause up to which streams are
-	// admitted; the rest is for the spread of pauses around their mean.
+	// admitted when pauses are even.
 	paceShare = 0.82
+	// peakShare is the part of it up to which the peaks may go.
+	peakShare = 0.98
 )
 
 // pace follows how long the passes of a rank group take, by the pauses
-// between the events of this entry's streams.
+// between the events of this entry's streams. A stream is late by a single
+// long pause, so the limit keeps the peaks within the goal, not the mean.
 type pace struct {
-	mean time.Duration
-	at   time.Time
+	mean  time.Duration
+	usual time.Duration
+	peak  time.Duration
+	at    time.Time
 	// recent are the admissions that do not show in the mean yet.
 	recent []time.Time
 }
 
+// weight of a sample that comes so long after the one before.
+func weight(gap, smoothing time.Duration) float64 {
+	return 1 - math.Exp(-gap.Seconds()/smoothing.Seconds())
+}
+
+func blend(old, sample time.Duration, w float64) time.Duration {
+	return old + time.Duration(w*float64(sample-old))
+}
+
 func (p *pace) observe(pause time.Duration, now time.Time) {
-	if now.Sub(p.at) > paceLife {
+	gap := now.Sub(p.at)
+	p.at = now
+	if gap > paceLife {
 		p.mean = pause
 	} else {
-		p.mean += time.Duration(paceWeight * float64(pause-p.mean))
+		p.mean = blend(p.mean, pause, weight(gap, paceTime))
 	}
-	p.at = now
+	if p.usual == 0 || gap > usualTime {
+		p.usual, p.peak = p.mean, p.mean
+		return
+	}
+	p.usual = blend(p.usual, p.mean, weight(gap, usualTime))
+	p.peak = max(p.mean, blend(p.peak, p.usual, weight(gap, peakTime)))
 }
 
 // expected is the pause that another stream would see.
@@ -51,7 +79,17 @@
 
 func (p *pace) admitted(now time.Time) { p.recent = append(p.recent, now) }
 
+// limit is the pause up to which streams are admitted for a goal: the further
+// the peaks lie above the usual pause, the lower.
+func (p *pace) limit(goal time.Duration) time.Duration {
+	share := paceShare
+	if p.peak > 0 {
+		share = min(share, peakShare*float64(p.usual)/float64(p.peak))
+	}
+	return time.Duration(share * float64(goal))
+}
+
 // open reports whether another stream keeps the pauses within a goal.
 func (p *pace) open(goal time.Duration, now time.Time) bool {
-	return goal <= 0 || p.expected(now) <= time.Duration(paceShare*float64(goal))
+	return goal <= 0 || p.expected(now) <= p.limit(goal)
 }
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -68,7 +68,7 @@
 const (
 	// queueShare is the part of the time to the goal for which a request
 	// waits for room.
-	queueShare = 0.3
+	queueShare = 0.5
 	// queueMost is how many requests wait for a service at one entry.
 	queueMost = 12
 )
