--- a/internal/coordination/balance/fleet.go
+++ b/internal/coordination/balance/fleet.go
@@ -42,7 +42,7 @@
 type Lease struct {
 	fleet  *Fleet
 	member *member
-	since  time.Time
+	stream bool
 	done   bool
 }
 
@@ -170,7 +170,7 @@
 		if !m.usable(f.out) || slices.Contains(n.Tried, m.target.ID) {
 			continue
 		}
-		if m.suspended(now) || now.Before(m.group.until) {
+		if m.suspended(now) || m.group.barred(m.target.Broken, now) {
 			continue
 		}
 		verdict = Full
@@ -187,9 +187,9 @@
 	best.own++
 	best.sends = append(best.sends, now)
 	if n.Stream {
-		best.group.pace.admitted(now)
+		best.group.begin(now)
 	}
-	return &Lease{fleet: f, member: best, since: now}, Granted
+	return &Lease{fleet: f, member: best, stream: n.Stream}, Granted
 }
 
 func (f *Fleet) room(m *member, n Need, now time.Time) bool {
@@ -216,15 +216,26 @@
 	return (load + 1 + jitter/2) * latency
 }
 
-// Observe takes a pause between two events of a stream at a lease's target.
+// Observe takes an event of a stream at a lease's target, and the pause
+// before it; 0 for the first event.
 func (l *Lease) Observe(pause time.Duration, now time.Time) {
 	f := l.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	l.member.group.pace.observe(pause, now)
+	l.member.group.event(now)
+	if pause > 0 {
+		l.member.group.pace.observe(pause, now)
+	}
 	f.serveQueue(now)
 }
 
+// Stalled reports whether no stream of the target's group gets events.
+func (l *Lease) Stalled(now time.Time) bool {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	return l.member.group.stalled(now)
+}
+
 // Report takes a target's own word about its requests.
 func (l *Lease) Report(running, waiting int, now time.Time) {
 	f := l.fleet
@@ -261,6 +272,9 @@
 	l.done = true
 	m := l.member
 	m.own--
+	if l.stream {
+		m.group.streams--
+	}
 	switch o {
 	case Answered:
 		m.answered(latency)
@@ -278,7 +292,7 @@
 func (l *Lease) SuspendGroup(until time.Time) {
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
-	l.member.group.until = later(l.member.group.until, until)
+	l.member.group.bar(until)
 }
 
 func later(a, b time.Time) time.Time {
--- /dev/null
+++ b/internal/coordination/balance/group.go
@@ -0,0 +1,58 @@
+package balance
+
+import "time"
+
+const (
+	// stallAfter is the silence of all streams of a group after which it
+	// counts as stalled: longer than the first event of a loaded group takes.
+	stallAfter = 450 * time.Millisecond
+	// stallPauses is the same in usual pauses, for slow groups.
+	stallPauses = 4
+	// probeEvery is the time between two requests that try whether a group
+	// that is stalled or broken is back.
+	probeEvery = 400 * time.Millisecond
+)
+
+// group is the targets that share a pace: the ranks of a rank group, which
+// stand still together, or a whole service.
+type group struct {
+	name string
+	pace pace
+	// streams is the number of this entry's streams in flight.
+	streams int
+	// lively is when an event came last, or the first stream began.
+	lively time.Time
+	// until is how long a target's word keeps work off the group.
+	until time.Time
+	// probed is when a request was sent to the barred group last.
+	probed time.Time
+}
+
+func (g *group) begin(now time.Time) {
+	if g.streams == 0 {
+		g.lively = now
+	}
+	g.streams++
+	g.pace.admitted(now)
+	g.probed = now
+}
+
+func (g *group) event(now time.Time) {
+	g.lively = now
+	g.until = time.Time{}
+}
+
+func (g *group) bar(until time.Time) { g.until = later(g.until, until) }
+
+func (g *group) stalled(now time.Time) bool {
+	return g.streams > 0 && now.Sub(g.lively) > max(stallAfter, stallPauses*g.pace.usual)
+}
+
+// barred reports whether the group gets no new work but a probe now and then;
+// broken is what the list of targets says.
+func (g *group) barred(broken bool, now time.Time) bool {
+	if !broken && !now.Before(g.until) && !g.stalled(now) {
+		return false
+	}
+	return now.Sub(g.probed) < probeEvery
+}
--- a/internal/coordination/balance/member.go
+++ b/internal/coordination/balance/member.go
@@ -37,14 +37,6 @@
 	sends    []time.Time
 }
 
-// group is the targets that share a pace.
-type group struct {
-	name    string
-	pace    pace
-	until   time.Time
-	members int
-}
-
 func (m *member) load(now time.Time) int {
 	if now.Sub(m.othersAt) < reportLife {
 		return m.own + m.others
--- a/internal/coordination/mapswitch/switch.go
+++ b/internal/coordination/mapswitch/switch.go
@@ -81,6 +81,8 @@
 	reports []*expert.RankReport
 	// unsure are the ranks where an Arm may still be carried out.
 	unsure []bool
+	// inherited says that another coordinator began the change.
+	inherited bool
 }
 
 // New starts a change to a version that is higher than any that a rank of the
@@ -100,11 +102,14 @@
 }
 
 // Recover takes over from a coordinator that is gone while a rank holds a
-// step: every rank may be armed, or be so by a late order.
+// step. Where every rank is armed the change is committed, since the release
+// may be on its way already; else it is undone, and every rank may be armed by
+// a late order until it is fenced.
 func Recover(epoch, version, step int64, holder, ranks int, now time.Time) *Switch {
 	s := New(epoch, version, holder, ranks, Limits{}, now)
 	s.stage = Aborting
 	s.step = step
+	s.inherited = true
 	for r := range s.unsure {
 		s.unsure[r] = true
 	}
@@ -176,6 +181,8 @@
 	switch {
 	case r == nil:
 		return Look, 0
+	case s.inherited:
+		return "", 0
 	case r.Armed != 0:
 		return Disarm, r.Armed
 	case s.unsure[rank] && r.Prepared != s.fence():
@@ -252,12 +259,7 @@
 			s.abort(now)
 		}
 	case Aborting:
-		for r := range s.reports {
-			if k, _ := s.undo(r); k != "" {
-				return
-			}
-		}
-		s.enter(Yielding, now)
+		s.advanceAbort(now)
 	case Committing, Yielding:
 		s.advanceRelease(now)
 	}
@@ -285,6 +287,27 @@
 	}
 }
 
+// advanceAbort ends once no rank is armed or can become so.
+func (s *Switch) advanceAbort(now time.Time) {
+	if !s.all(func(*expert.RankReport) bool { return true }) {
+		return
+	}
+	if s.inherited {
+		// Nothing was undone yet, so that what is seen holds.
+		s.inherited = false
+		if s.all(func(r *expert.RankReport) bool { return r.Armed != 0 && r.Armed == s.reports[0].Armed }) {
+			s.enter(Committing, now)
+			return
+		}
+	}
+	for r := range s.reports {
+		if k, _ := s.undo(r); k != "" {
+			return
+		}
+	}
+	s.enter(Yielding, now)
+}
+
 // abort reads every rank anew before it undoes anything.
 func (s *Switch) abort(now time.Time) {
 	for r := range s.reports {
--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -65,6 +65,7 @@
 	SwitchStarted    = declare(3205, hclog.Info, "change of the expert map started")
 	SwitchEnded      = declare(3206, hclog.Info, "change of the expert map ended")
 	SwitchFailed     = declare(3207, hclog.Warn, "change of the expert map given up")
+	SwitchRecovered  = declare(3209, hclog.Warn, "taking over a rank group that another leader left held")
 	EngineUnreached  = declare(3208, hclog.Warn, "engine does not answer")
 	ClaimPending     = declare(3102, hclog.Warn, "claim could not be marked as abandoned, trying again")
 )
--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -111,7 +111,7 @@
 	now := time.Now()
 	if err != nil || a.status < 300 && !said.Signed || said.Encoded {
 		res.Close(now)
-		x.failed(ctx, l, errors.Join(err, errors.New("the answer is not whole or not the target's")))
+		x.failed(l, errors.Join(err, errors.New("the answer is not whole or not the target's")))
 		return nil, true, refusal.AnswerLost
 	}
 	if a.rest == nil {
@@ -138,7 +138,7 @@
 		x.sends++
 		x.uncertain = true
 	}
-	x.failed(ctx, l, err)
+	x.failed(l, err)
 	switch {
 	case ctx.Err() != nil:
 		return x.late()
@@ -149,15 +149,15 @@
 }
 
 // failed ends a lease whose target gave no whole answer; a request that was
-// cut by its caller or its deadline says little about the target.
-func (x *exchange) failed(ctx context.Context, l *balance.Lease, err error) {
+// cut by its caller, or because the whole group stands still, says little
+// about the target.
+func (x *exchange) failed(l *balance.Lease, err error) {
 	event.TargetFailed.Log(x.gateway.log, "id", x.ask.Attempt, "target", l.Target().ID,
 		"error", err.Error(), "may-have-run", x.uncertain)
-	if x.request.Context().Err() != nil {
+	if x.request.Context().Err() != nil || errors.Is(err, errStalled) {
 		l.Done(balance.Abandoned, 0, time.Now())
 		return
 	}
-	_ = ctx
 	x.gateway.pool.Forget(l.Target().Address)
 	l.Done(balance.Failed, 0, time.Now())
 }
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -64,8 +65,13 @@
 
 // part takes events from one target. It reports whether the request is done.
 func (x *exchange) part(ctx context.Context, l *balance.Lease) (bool, refusal.Reason, error) {
-	res, said, err := x.send(ctx, l)
+	own, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	watch := x.watch(l, stop)
+	defer watch.Stop()
+	res, said, err := x.send(own, l)
 	if err != nil {
+		err = errors.Join(err, context.Cause(own))
 		return false, x.sendFailed(ctx, l, err), err
 	}
 	if said.NotRun {
@@ -75,15 +81,15 @@
 	x.sends++
 	x.uncertain = true
 	if res.StatusCode != http.StatusOK {
-		return x.notStream(ctx, l, res)
+		return x.notStream(l, res)
 	}
 	if !said.Signed || said.Encoded {
 		res.Close(time.Now())
 		err := errors.New("the answer is not the target's")
-		x.failed(ctx, l, err)
+		x.failed(l, err)
 		return false, refusal.AnswerLost, err
 	}
-	err = x.events(l, res)
+	err = x.events(l, res, watch)
 	now := time.Now()
 	if err == nil {
 		res.Ended()
@@ -93,21 +99,47 @@
 		return true, "", nil
 	}
 	res.Close(now)
-	x.failed(ctx, l, err)
+	x.failed(l, errors.Join(err, context.Cause(own)))
 	if ctx.Err() != nil {
 		return false, x.late(), err
 	}
 	return false, refusal.AnswerLost, err
 }
 
+const (
+	// silence is how long a stream waits for an event before it asks whether
+	// its rank group stands still; callers give up on a gap of 2 s.
+	silence = 700 * time.Millisecond
+	// silenceAgain is the time between two such questions.
+	silenceAgain = 150 * time.Millisecond
+)
+
+var errStalled = errors.New("the target's group stands still")
+
+// watch ends a part whose rank group stands still, if the stream may go on at
+// another target.
+func (x *exchange) watch(l *balance.Lease, stop context.CancelCauseFunc) *time.Timer {
+	movable := x.route.Resumable && len(x.tried)+1 < x.route.MaxTargets
+	var timer *time.Timer
+	timer = time.AfterFunc(math.MaxInt64, func() {
+		if movable && l.Stalled(time.Now()) {
+			stop(errStalled)
+			return
+		}
+		timer.Reset(silenceAgain)
+	})
+	timer.Reset(silence)
+	return timer
+}
+
 // notStream passes on an answer that is no stream, unless another target may
 // still serve the request.
-func (x *exchange) notStream(ctx context.Context, l *balance.Lease, res *upstream.Response) (bool, refusal.Reason, error) {
+func (x *exchange) notStream(l *balance.Lease, res *upstream.Response) (bool, refusal.Reason, error) {
 	a, err := x.readAnswer(res)
 	now := time.Now()
 	res.Close(now)
 	if err != nil {
-		x.failed(ctx, l, err)
+		x.failed(l, err)
 		return false, refusal.AnswerLost, err
 	}
 	l.Done(balance.Answered, 0, now)
@@ -120,7 +152,7 @@
 }
 
 // events passes events on as they come, until the stream's end.
-func (x *exchange) events(l *balance.Lease, res *upstream.Response) error {
+func (x *exchange) events(l *balance.Lease, res *upstream.Response, watch *time.Timer) error {
 	flusher := http.NewResponseController(x.writer)
 	events := newEventReader(res.Body)
 	last := time.Time{}
@@ -135,7 +167,10 @@
 			return err
 		}
 		now := time.Now()
-		if !last.IsZero() {
+		watch.Reset(silence)
+		if last.IsZero() {
+			l.Observe(0, now)
+		} else {
 			pause := now.Sub(last)
 			l.Observe(pause, now)
 			x.gateway.metrics.pauses.Update(pause.Seconds())
--- a/internal/transport/rankagent/agent.go
+++ b/internal/transport/rankagent/agent.go
@@ -26,12 +26,13 @@
 	orderTimeout = 50 * time.Millisecond
 	// peerTimeout bounds a call to another agent: an order, a report, and the
 	// way.
-	peerTimeout = 500 * time.Millisecond
-	// lockLife is how long a silent leader keeps other leaders out; longer
-	// than any of its calls.
-	lockLife = 1200 * time.Millisecond
+	peerTimeout = 400 * time.Millisecond
+	// lockLife is how long a silent leader keeps other leaders out. It is
+	// longer than a round of calls, and short enough for another agent to
+	// release a held group before callers give up on a silent stream, 2 s.
+	lockLife = 700 * time.Millisecond
 	// lockStagger keeps agents from leading at the same time.
-	lockStagger = 300 * time.Millisecond
+	lockStagger = 150 * time.Millisecond
 )
 
 // Agent is a running agent.
@@ -131,6 +132,13 @@
 	return out, nil
 }
 
+// errStale says that the process stood still before an order was given.
+var errStale = errors.New("rankagent: the order is too old: the process was suspended")
+
+// orderLife is how old an order of this process's own may be: another agent
+// may have taken over while the process was suspended.
+const orderLife = 100 * time.Millisecond
+
 // order gives the engine an order of the leader and reads what came of it.
 func (a *Agent) order(ctx context.Context, r orderRequest) (orderReply, error) {
 	a.serial.Lock()
@@ -138,7 +146,7 @@
 	if granted, _ := a.lock.take(r.Leader, 0, time.Now()); !granted {
 		return orderReply{}, nil
 	}
-	err := a.give(ctx, r)
+	err := give(ctx, a.engine, r)
 	out := orderReply{Granted: true, Answered: err == nil || errors.Is(err, platform.ErrOrderRefused)}
 	if !out.Answered {
 		event.EngineUnreached.Log(a.log, "order", string(r.Order.Kind), "version", r.Order.Version, "error", err.Error())
@@ -152,19 +160,23 @@
 	return out, nil
 }
 
-func (a *Agent) give(ctx context.Context, r orderRequest) error {
+// give gives an engine an order.
+func give(ctx context.Context, e *platform.Engine, r orderRequest) error {
+	if r.issued != 0 && process.BootTime()-r.issued > orderLife {
+		return errStale
+	}
 	o := r.Order
 	switch o.Kind {
 	case mapswitch.Prepare, mapswitch.Fence:
-		return a.engine.Prepare(ctx, r.Epoch, o.Version, r.Layout)
+		return e.Prepare(ctx, r.Epoch, o.Version, r.Layout)
 	case mapswitch.Arm:
-		return a.engine.Arm(ctx, r.Epoch, o.Version, o.Step)
+		return e.Arm(ctx, r.Epoch, o.Version, o.Step)
 	case mapswitch.Disarm:
-		return a.engine.Disarm(ctx, r.Epoch, o.Version)
+		return e.Disarm(ctx, r.Epoch, o.Version)
 	case mapswitch.Hold:
-		return a.engine.Hold(ctx, r.Epoch, o.Step)
+		return e.Hold(ctx, r.Epoch, o.Step)
 	case mapswitch.Release:
-		return a.engine.Release(ctx, r.Epoch, o.Step)
+		return e.Release(ctx, r.Epoch, o.Step)
 	case mapswitch.Look:
 		return nil
 	}
--- a/internal/transport/rankagent/change.go
+++ b/internal/transport/rankagent/change.go
@@ -10,6 +10,7 @@
 	"bluebellcrank/internal/protocol/peer"
 	"bluebellcrank/internal/state/event"
 	"bluebellcrank/internal/state/expert"
+	"bluebellcrank/internal/transport/process"
 )
 
 // change has the group use another layout.
@@ -53,8 +54,21 @@
 	a := l.agent
 	patience := context.WithoutCancel(ctx)
 	sampled := time.Now()
+	round := process.BootTime()
 	for {
-		now := time.Now()
+		now, boot := time.Now(), process.BootTime()
+		if boot-round > l.roundLife() {
+			// Another agent may lead by now.
+			event.SwitchFailed.Log(a.log, "version", s.Version(), "step", s.Step(), "suspended-ms", (boot - round).Milliseconds())
+			l.backOff = now.Add(lockLife)
+			return
+		}
+		round = boot
+		if len(l.missing) > 0 {
+			// Orders to a missing agent's engine take long; this renews the
+			// locks on the others.
+			l.sampleAll(patience, now)
+		}
 		orders := s.Orders(now)
 		if s.Ended() {
 			break
@@ -87,10 +101,19 @@
 	event.SwitchFailed.Log(a.log, "version", s.Version(), "step", s.Step())
 }
 
+// roundLife is how long a round of orders may take before another agent may
+// have taken over.
+func (l *leader) roundLife() time.Duration {
+	if len(l.missing) > 0 {
+		return lockLife + reportLag
+	}
+	return lockLife
+}
+
 // send has an agent give one order; nil says that it did not answer.
 func (l *leader) send(ctx context.Context, o mapswitch.Order, next expert.Layout) *orderReply {
 	a := l.agent
-	q := orderRequest{Leader: a.settings.Name, Epoch: l.epoch, Order: o}
+	q := orderRequest{Leader: a.settings.Name, Epoch: l.epoch, Order: o, issued: process.BootTime()}
 	switch o.Kind {
 	case mapswitch.Prepare:
 		q.Layout = next
@@ -99,9 +122,12 @@
 	}
 	var out orderReply
 	var err error
-	if o.Rank == l.self.Rank {
+	switch _, gone := l.missing[o.Rank]; {
+	case o.Rank == l.self.Rank:
 		out, err = a.order(ctx, q)
-	} else {
+	case gone:
+		out, err = l.orderDirectly(ctx, q)
+	default:
 		out, err = peer.Call[orderRequest, orderReply](a.peers, l.addresses[o.Rank], methodOrder, q)
 	}
 	if err != nil {
--- a/internal/transport/rankagent/leader.go
+++ b/internal/transport/rankagent/leader.go
@@ -9,7 +9,6 @@
 
 	"github.com/samber/lo"
 
-	"bluebellcrank/internal/coordination/mapswitch"
 	"bluebellcrank/internal/coordination/placement"
 	"bluebellcrank/internal/protocol/peer"
 	"bluebellcrank/internal/state/event"
@@ -51,12 +50,16 @@
 	agent   *Agent
 	profile *routing.EngineProfile
 	self    expert.RankReport
-	// addresses are the agents of the group by rank.
+	// addresses are the agents of the group by rank, engines their engines.
 	addresses []string
+	engines   []string
 	listed    time.Time
 	samples   []*sampleReply
-	counts    [][]int64
-	epoch     int64
+	// missing are the ranks whose agents do not answer, and since when.
+	missing map[int]time.Time
+	asked   time.Time
+	counts  [][]int64
+	epoch   int64
 	// layout is the map in force; nil where it is not known.
 	layout     expert.Layout
 	version    int64
@@ -65,7 +68,7 @@
 	backOff    time.Time
 }
 
-func newLeader(a *Agent) *leader { return &leader{agent: a} }
+func newLeader(a *Agent) *leader { return &leader{agent: a, missing: map[int]time.Time{}} }
 
 func (l *leader) run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -80,15 +83,12 @@
 
 // work looks at the group, and changes its map if that pays.
 func (l *leader) work(ctx context.Context, now time.Time) {
-	if !l.leads(ctx, now) || !l.prepare(ctx, now) || !l.sampleAll(ctx, now) {
+	if !l.leads(ctx, now) || !l.prepare(ctx, now) {
 		return
 	}
-	for n, s := range l.samples {
-		if s.Report.Held != 0 {
-			l.highest = max(l.highest+2, version(now))
-			l.drive(ctx, mapswitch.Recover(l.epoch, l.highest, s.Report.Held, n, len(l.samples), now), l.layout)
-			return
-		}
+	whole := l.sampleAll(ctx, now)
+	if l.denied(now) || l.release(ctx, now) || !whole {
+		return
 	}
 	if l.popularity == nil || !l.settled() {
 		return
@@ -149,6 +149,7 @@
 		event.PlatformLost.Log(a.log, "error", err.Error())
 		return l.complete()
 	}
+	l.engines = ranks
 	l.addresses = lo.Map(ranks, func(engine string, _ int) string {
 		host, _, err := net.SplitHostPort(engine)
 		if err != nil {
@@ -191,11 +192,6 @@
 			l.samples[r] = &s
 		}
 	})
-	for _, s := range l.samples {
-		if s != nil && !s.Granted && s.Holder < l.self.Rank {
-			l.backOff = now.Add(lockLife)
-		}
-	}
 	if lo.SomeBy(l.samples, func(s *sampleReply) bool { return s == nil || !s.Granted }) {
 		return false
 	}
--- a/internal/transport/rankagent/message.go
+++ b/internal/transport/rankagent/message.go
@@ -1,6 +1,8 @@
 package rankagent
 
 import (
+	"time"
+
 	"bluebellcrank/internal/coordination/mapswitch"
 	"bluebellcrank/internal/state/expert"
 )
@@ -36,6 +38,9 @@
 	Epoch  int64           `json:"epoch"`
 	Order  mapswitch.Order `json:"order"`
 	Layout expert.Layout   `json:"layout,omitempty"`
+	// issued is the boot time at which this process made the order; 0 where
+	// another one did.
+	issued time.Duration
 }
 
 type orderReply struct {
