Fewer calls to the store, fewer copies of experts, a later return when no target is there

Ruled out: slower watches of the configuration (keys need the proof). Change: watches of targets and data centres wait 5 s and start anew when the configuration's fails; a copy must save 12 ms of steps; without a target clients are asked back after 1.2 to 2.6 s.

--- a/internal/coordination/placement/even.go
+++ b/internal/coordination/placement/even.go
@@ -37,6 +37,8 @@
 	SwitchTime time.Duration
 	// Horizon is how long the popularity is expected to stay.
 	Horizon time.Duration
+	// CopyPrice is the step time over the horizon that one copy must save.
+	CopyPrice time.Duration
 }
 
 // copySlowdown is by how much passes take longer while experts are loaded, by
@@ -53,7 +55,7 @@
 	stay := before * t.Horizon.Seconds()
 	best, bestCost := expert.Layout(nil), stay
 	for copies := 1; copies <= t.MaxNew*len(from); copies *= 2 {
-		next, loaded := relieve(from, popularity, speed, t, copies)
+		next, loaded, total := relieve(from, popularity, speed, t, copies)
 		if loaded == 0 {
 			break
 		}
@@ -61,6 +63,7 @@
 		after := stepTime(next, popularity, speed, t)
 		cost := after * max(0, t.Horizon-wait).Seconds()
 		cost += before * (copySlowdown*float64(loaded)*t.CopyTime.Seconds() + t.SwitchTime.Seconds())
+		cost += float64(total) * t.CopyPrice.Seconds()
 		if cost < bestCost {
 			best, bestCost = next, cost
 		}
@@ -198,8 +201,9 @@
 }
 
 // relieve places copies, at most so many on each rank, where they relieve the
-// slowest ranks most; it returns the most that one rank has to load.
-func relieve(from expert.Layout, popularity [][]float64, speed []float64, t Terms, copies int) (expert.Layout, int) {
+// slowest ranks most; it returns the most that one rank has to load, and the
+// copies of all ranks.
+func relieve(from expert.Layout, popularity [][]float64, speed []float64, t Terms, copies int) (expert.Layout, int, int) {
 	sets := make([]*setBalance, len(from))
 	next := make([]move, len(from))
 	used := make([]int, len(from[0]))
@@ -232,7 +236,11 @@
 	for s, b := range sets {
 		out[s] = b.ranks
 	}
-	return out, slices.Max(used)
+	total := 0
+	for _, n := range used {
+		total += n
+	}
+	return out, slices.Max(used), total
 }
 
 func (b *setBalance) apply(m move) {
--- a/internal/transport/follower/follower.go
+++ b/internal/transport/follower/follower.go
@@ -20,11 +20,12 @@
 	// configWait bounds the age of the proof that a key still stands; a
 	// watch's answer counts as one call whether or not there was news.
 	configWait = 1500 * time.Millisecond
-	// targetsWait bounds how long a silent connection hides that a target
-	// leaves, within the 2 s that a deployment allows.
-	targetsWait = time.Second
-	// outWait does the same for data centres, within their 5 s.
-	outWait = 2500 * time.Millisecond
+	// listWait is how long the other watches wait. A connection that has gone
+	// silent shows in the configuration's watch, which has them start anew.
+	listWait = 5 * time.Second
+	// gather is the time between two watches of targets, so that changes
+	// which come together take one call.
+	gather = 100 * time.Millisecond
 	// retryPause is the time between calls that fail.
 	retryPause = 150 * time.Millisecond
 )
@@ -52,6 +53,10 @@
 	outListed atomic.Bool
 	lost      atomic.Bool
 
+	// sound ends when a call for the configuration fails: the connections of
+	// the other watches may have gone silent as well.
+	sound atomic.Pointer[soundness]
+
 	stop   context.CancelFunc
 	ending sync.WaitGroup
 }
@@ -61,8 +66,10 @@
 	ctx, stop := context.WithCancel(context.Background())
 	f := &Follower{store: s, sink: sink, log: log, stop: stop}
 	f.proof.Store(int64(-time.Hour))
-	for _, follow := range []func(context.Context) error{f.followConfig, f.followTargets, f.followOut} {
-		f.ending.Go(func() { f.repeat(ctx, follow) })
+	f.sound.Store(newSoundness(ctx))
+	f.ending.Go(func() { f.repeat(ctx, f.followConfig) })
+	for _, follow := range []func(context.Context) error{f.followTargets, f.followOut} {
+		f.ending.Go(func() { f.repeat(ctx, func(ctx context.Context) error { return f.renewable(ctx, follow) }) })
 	}
 	return f
 }
@@ -108,13 +115,35 @@
 	}
 }
 
+// soundness is the time from one failed call to the next.
+type soundness struct {
+	ctx context.Context
+	end context.CancelFunc
+}
+
+func newSoundness(ctx context.Context) *soundness {
+	own, end := context.WithCancel(ctx)
+	return &soundness{ctx: own, end: end}
+}
+
+// unsound has the other watches start anew.
+func (f *Follower) unsound(ctx context.Context) {
+	f.sound.Swap(newSoundness(ctx)).end()
+}
+
+// renewable runs a watch that ends when a call for the configuration fails.
+func (f *Follower) renewable(_ context.Context, follow func(context.Context) error) error {
+	return follow(f.sound.Load().ctx)
+}
+
 func (f *Follower) answered() {
 	if f.lost.Swap(false) {
 		event.PlatformBack.Log(f.log)
 	}
 }
 
-// followConfig returns on the first error, after which it lists anew.
+// followConfig returns on the second error in a row, after which it lists
+// anew.
 func (f *Follower) followConfig(ctx context.Context) error {
 	asked := process.BootTime()
 	t, at, err := f.store.Config(ctx)
@@ -127,6 +156,7 @@
 		asked = process.BootTime()
 		t, next, err := f.store.WatchConfig(ctx, at, configWait)
 		if err != nil {
+			f.unsound(ctx)
 			if fails++; errors.Is(err, platform.ErrHistoryGone) || fails > 1 {
 				return err
 			}
@@ -173,7 +203,7 @@
 	f.sink.Replace(list, time.Now())
 	f.listed.Store(true)
 	for {
-		changes, faults, next, err := f.store.WatchTargets(ctx, at, targetsWait)
+		changes, faults, next, err := f.store.WatchTargets(ctx, at, listWait)
 		if err != nil {
 			return err
 		}
@@ -182,6 +212,7 @@
 		f.answered()
 		if len(changes) > 0 {
 			f.sink.Change(changes, time.Now())
+			time.Sleep(gather)
 		}
 	}
 }
@@ -200,7 +231,7 @@
 	f.setOut(out)
 	f.outListed.Store(true)
 	for {
-		changes, next, err := f.store.WatchEvacuations(ctx, at, outWait)
+		changes, next, err := f.store.WatchEvacuations(ctx, at, listWait)
 		if err != nil {
 			return err
 		}
--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -63,7 +63,7 @@
 	case ctx.Err() != nil:
 		x.refuse(x.late(), 0)
 	case v == balance.Absent:
-		x.refuse(refusal.NoTarget, comeBack(soonBack, lateBack))
+		x.refuse(refusal.NoTarget, comeBack(restartBack, restartedBack))
 	default:
 		x.refuse(refusal.Full, comeBack(soonBack, lateBack))
 	}
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -20,6 +20,10 @@
 	// because of a state that passes within a second or two.
 	soonBack = 300 * time.Millisecond
 	lateBack = 1500 * time.Millisecond
+	// restartBack and restartedBack do so when no target is there: servers
+	// are back some seconds after they were lost.
+	restartBack   = 1200 * time.Millisecond
+	restartedBack = 2600 * time.Millisecond
 )
 
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
--- a/internal/transport/rankagent/leader.go
+++ b/internal/transport/rankagent/leader.go
@@ -42,6 +42,9 @@
 	switchTime = 200 * time.Millisecond
 	// horizon is how long favourites stay: some seconds on a busy day.
 	horizon = 2500 * time.Millisecond
+	// copyPrice keeps copies that save little from being loaded: a copy takes
+	// a rank's link and the memory of the engines, which are charged for.
+	copyPrice = 12 * time.Millisecond
 )
 
 // leader is an agent's part as the leader of its group; all of it runs on one
@@ -303,6 +306,7 @@
 		CopyTime:    p.CopyTime,
 		SwitchTime:  switchTime,
 		Horizon:     horizon,
+		CopyPrice:   copyPrice,
 	}
 }
 
