Slow ranks are relieved of experts and streams; entries share a group's room

Change: Rebalance weighs speeds over 8 s and gives spare copies of a slow rank up; entries ask the engines of a group in trouble for their pace and move streams away; a stream's cost counts for half of the entries.

--- a/internal/coordination/balance/fleet.go
+++ b/internal/coordination/balance/fleet.go
@@ -59,6 +59,7 @@
 	groups   map[string]*group
 	out      map[string]bool
 	queue    []*Ticket
+	entries  int
 }
 
 // NewFleet returns a fleet without targets.
@@ -103,6 +104,13 @@
 	f.serveQueue(now)
 }
 
+// SetEntries takes the number of entries that send to the same targets.
+func (f *Fleet) SetEntries(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries = n
+}
+
 // SetOut takes the data centres that are out of service.
 func (f *Fleet) SetOut(out map[string]bool, now time.Time) {
 	f.mu.Lock()
@@ -128,7 +136,11 @@
 		name = t.Service
 	}
 	if m.group == nil || m.group.name != name {
+		if m.group != nil {
+			m.group.size--
+		}
 		m.group = f.groupOf(name)
+		m.group.size++
 	}
 }
 
@@ -147,6 +159,7 @@
 		return
 	}
 	m.gone = true
+	m.group.size--
 	delete(f.members, id)
 	s := m.target.Service
 	f.services[s] = slices.DeleteFunc(f.services[s], func(o *member) bool { return o == m })
@@ -187,7 +200,7 @@
 	best.own++
 	best.sends = append(best.sends, now)
 	if n.Stream {
-		best.group.begin(now)
+		best.group.begin(n.Pause, now)
 	}
 	return &Lease{fleet: f, member: best, stream: n.Stream}, Granted
 }
@@ -199,7 +212,7 @@
 	if m.target.Slots > 0 && m.load(now) >= m.target.Slots {
 		return false
 	}
-	return !n.Stream || n.Resumed || m.group.pace.open(n.Pause, now)
+	return !n.Stream || n.Resumed || m.group.open(n.Pause, f.entries, now)
 }
 
 // score is lower for better targets: for streams first the pace of the group
@@ -210,7 +223,11 @@
 	load := float64(m.load(now))
 	if n.Stream {
 		const perStream = 0.15 // ranks of a group share most of their work
-		return m.group.pace.expected(now).Seconds()*1e3 + perStream*stepCost.Seconds()*1e3*(load*4+jitter*2)
+		if m.slow(now) {
+			load += float64(m.target.Slots)
+		}
+		cost := m.group.cost(f.entries)
+		return m.group.pace.expected(cost, now).Seconds() + perStream*streamCost.Seconds()*(load+jitter)/2
 	}
 	latency := max(m.latency, time.Millisecond).Seconds()
 	return (load + 1 + jitter/2) * latency
@@ -229,6 +246,38 @@
 	f.serveQueue(now)
 }
 
+// Troubled returns the targets of groups whose pauses are too long, one of
+// which may be slow.
+func (f *Fleet) Troubled(now time.Time) []fleet.Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []fleet.Target
+	for _, m := range f.members {
+		if m.target.Group != "" && m.group.troubled(now) {
+			out = append(out, m.target)
+		}
+	}
+	return out
+}
+
+// SetPace takes an engine's own word about its pace: 1 for a sound one, more
+// for a slow one.
+func (f *Fleet) SetPace(id string, pace float64, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.members[id]; m != nil {
+		m.slowness, m.slowAt = pace, now
+	}
+}
+
+// Slow reports whether the target slows its group, which is better off once
+// the target has no requests of its own.
+func (l *Lease) Slow(now time.Time) bool {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	return l.member.slow(now) && l.member.group.troubled(now)
+}
+
 // Stalled reports whether no stream of the target's group gets events.
 func (l *Lease) Stalled(now time.Time) bool {
 	l.fleet.mu.Lock()
--- a/internal/coordination/balance/group.go
+++ b/internal/coordination/balance/group.go
@@ -18,6 +18,8 @@
 type group struct {
 	name string
 	pace pace
+	// size is the number of targets.
+	size int
 	// streams is the number of this entry's streams in flight.
 	streams int
 	// lively is when an event came last, or the first stream began.
@@ -26,9 +28,12 @@
 	until time.Time
 	// probed is when a request was sent to the barred group last.
 	probed time.Time
+	// goal is the longest good pause of the streams sent here last.
+	goal time.Duration
 }
 
-func (g *group) begin(now time.Time) {
+func (g *group) begin(goal time.Duration, now time.Time) {
+	g.goal = goal
 	if g.streams == 0 {
 		g.lively = now
 	}
@@ -48,6 +53,12 @@
 	return g.streams > 0 && now.Sub(g.lively) > max(stallAfter, stallPauses*g.pace.usual)
 }
 
+// troubled reports whether the pauses are too long for the streams' goal, and
+// not just for a moment.
+func (g *group) troubled(now time.Time) bool {
+	return g.goal > 0 && now.Sub(g.pace.at) < usualTime && min(g.pace.usual, g.pace.mean) > g.goal
+}
+
 // barred reports whether the group gets no new work but a probe now and then;
 // broken is what the list of targets says.
 func (g *group) barred(broken bool, now time.Time) bool {
@@ -56,3 +67,15 @@
 	}
 	return now.Sub(g.probed) < probeEvery
 }
+
+// cost is by how much a stream of this entry lengthens the pauses while the
+// other entries see the same room and fill it as well: about half of them have
+// somebody waiting.
+func (g *group) cost(entries int) time.Duration {
+	return streamCost / time.Duration(max(g.size, 1)) * time.Duration(max(1, entries/2))
+}
+
+// open reports whether another stream keeps the pauses within a goal.
+func (g *group) open(goal time.Duration, entries int, now time.Time) bool {
+	return g.pace.open(goal, g.cost(entries), now)
+}
--- a/internal/coordination/balance/member.go
+++ b/internal/coordination/balance/member.go
@@ -17,6 +17,11 @@
 	lastSuspension  = 4 * time.Second
 	// rateWindow is the window of a cold target's rate.
 	rateWindow = time.Second
+	// slowPace is the pace of an engine from which it gets new streams only
+	// when no other rank has room: it slows its whole group by its own part.
+	slowPace = 1.5
+	// paceReportLife is how long an engine's word about its pace is used.
+	paceReportLife = 5 * time.Second
 	// refusedFor is how long a target that refused for want of room is left.
 	refusedFor = 100 * time.Millisecond
 )
@@ -32,6 +37,9 @@
 	others   int
 	othersAt time.Time
 	latency  time.Duration
+	// slowness is the engine's own word about its pace, as of slowAt.
+	slowness float64
+	slowAt   time.Time
 	failures int
 	until    time.Time
 	sends    []time.Time
@@ -55,6 +63,11 @@
 	return now.Before(m.until) || m.failures > 0 && m.own > 0
 }
 
+// slow reports whether the engine says that it is slow.
+func (m *member) slow(now time.Time) bool {
+	return m.slowness >= slowPace && now.Sub(m.slowAt) < paceReportLife
+}
+
 func (m *member) failed(now time.Time) {
 	m.until = now.Add(min(firstSuspension<<min(m.failures, 4), lastSuspension))
 	m.failures++
--- a/internal/coordination/balance/pace.go
+++ b/internal/coordination/balance/pace.go
@@ -18,9 +18,9 @@
 	// effectTime is how long a new stream takes to show in the pauses: about
 	// two passes, one of which reads its prompt.
 	effectTime = 200 * time.Millisecond
-	// stepCost is by how much one more stream lengthens the pauses of its
-	// group: step time, context and its part of reading prompts.
-	stepCost = 1500 * time.Microsecond
+	// streamCost is by how much one more stream lengthens the pauses of an
+	// engine by itself: step time, context, and reading its prompt.
+	streamCost = 12 * time.Millisecond
 	// paceShare is the part of the longest good pause up to which streams are
 	// admitted when pauses are even.
 	paceShare = 0.82
@@ -65,12 +65,13 @@
 	p.peak = max(p.mean, blend(p.peak, p.usual, weight(gap, peakTime)))
 }
 
-// expected is the pause that another stream would see.
-func (p *pace) expected(now time.Time) time.Duration {
+// expected is the pause that another stream would see if each recent stream
+// costs so much.
+func (p *pace) expected(cost time.Duration, now time.Time) time.Duration {
 	for len(p.recent) > 0 && now.Sub(p.recent[0]) > effectTime {
 		p.recent = p.recent[1:]
 	}
-	out := time.Duration(len(p.recent)) * stepCost
+	out := time.Duration(len(p.recent)) * cost
 	if now.Sub(p.at) <= paceLife {
 		out += p.mean
 	}
@@ -90,6 +91,6 @@
 }
 
 // open reports whether another stream keeps the pauses within a goal.
-func (p *pace) open(goal time.Duration, now time.Time) bool {
-	return goal <= 0 || p.expected(now) <= p.limit(goal)
+func (p *pace) open(goal, cost time.Duration, now time.Time) bool {
+	return goal <= 0 || p.expected(cost, now) <= p.limit(goal)
 }
--- a/internal/coordination/placement/even.go
+++ b/internal/coordination/placement/even.go
@@ -51,7 +51,7 @@
 // each expert by layer set, speed 1 for a sound rank. It reports false where
 // no change pays.
 func Rebalance(from expert.Layout, popularity [][]float64, speed []float64, t Terms) (expert.Layout, bool) {
-	before := stepTime(from, popularity, speed, t)
+	before := StepTime(from, popularity, speed, t)
 	stay := before * t.Horizon.Seconds()
 	best, bestCost := expert.Layout(nil), stay
 	for copies := 1; copies <= t.MaxNew*len(from); copies *= 2 {
@@ -60,7 +60,7 @@
 			break
 		}
 		wait := time.Duration(loaded)*t.CopyTime + t.SwitchTime
-		after := stepTime(next, popularity, speed, t)
+		after := StepTime(next, popularity, speed, t)
 		cost := after * max(0, t.Horizon-wait).Seconds()
 		cost += before * (copySlowdown*float64(loaded)*t.CopyTime.Seconds() + t.SwitchTime.Seconds())
 		cost += float64(total) * t.CopyPrice.Seconds()
@@ -85,8 +85,8 @@
 	return sum / float64(len(l))
 }
 
-// stepTime is the length of a step, where 1 is that of a perfect layout.
-func stepTime(l expert.Layout, popularity [][]float64, speed []float64, t Terms) float64 {
+// StepTime returns the length of a step, where 1 is that of a perfect layout.
+func StepTime(l expert.Layout, popularity [][]float64, speed []float64, t Terms) float64 {
 	sum := 0.0
 	for s := range l {
 		b := newSetBalance(l[s], popularity[s], speed)
@@ -147,6 +147,13 @@
 	return b.load[r] / b.speed[r]
 }
 
+// isSlow reports whether a rank is better off without spare copies; a sound
+// rank keeps them for the time when their expert is in demand again.
+func (b *setBalance) isSlow(r int) bool {
+	const soundSpeed = 0.8
+	return b.speed != nil && b.speed[r] < soundSpeed
+}
+
 func (b *setBalance) slowest() float64 {
 	most := 0.0
 	for r := range b.load {
@@ -188,11 +195,11 @@
 	}
 }
 
-// move is one new copy and what makes room for it.
+// move is one new copy and what makes room for it, or a copy that is given up.
 type move struct {
-	set    int
 	expert int
-	to     int
+	// to is the rank that loads the expert, or -1.
+	to int
 	// evict is the expert that leaves the rank, or -1.
 	evict int
 	// from is the rank that gives its copy up, or -1.
@@ -211,7 +218,8 @@
 		sets[s] = newSetBalance(from[s], popularity[s], speed)
 		next[s] = sets[s].best(t, used, copies)
 	}
-	for range copies * len(used) {
+	// Each turn of a set loads a copy, gives one up, or finds the rank full.
+	for range 2*copies*len(used) + t.Places*len(sets) {
 		pick := -1
 		for s := range next {
 			if next[s].gain > 0 && (pick < 0 || next[s].gain > next[pick].gain) {
@@ -222,6 +230,11 @@
 			break
 		}
 		m := next[pick]
+		if m.to < 0 {
+			sets[pick].apply(m)
+			next[pick] = sets[pick].best(t, used, copies)
+			continue
+		}
 		if used[m.to] >= copies {
 			next[pick] = sets[pick].best(t, used, copies)
 			continue
@@ -247,7 +260,9 @@
 	if m.evict >= 0 {
 		b.drop(m.evict, m.to)
 	}
-	b.add(m.expert, m.to)
+	if m.to >= 0 {
+		b.add(m.expert, m.to)
+	}
 	if m.from >= 0 {
 		b.drop(m.expert, m.from)
 	}
@@ -257,7 +272,9 @@
 	if m.from >= 0 {
 		b.add(m.expert, m.from)
 	}
-	b.drop(m.expert, m.to)
+	if m.to >= 0 {
+		b.drop(m.expert, m.to)
+	}
 	if m.evict >= 0 {
 		b.add(m.evict, m.to)
 	}
@@ -269,15 +286,21 @@
 	before := b.peak()
 	slow := b.slowestRank()
 	best := move{}
+	try := func(m move) {
+		b.apply(m)
+		m.gain = (before - b.peak()) * float64(len(b.load))
+		b.revert(m)
+		if m.gain > best.gain && m.gain > leastGain {
+			best = m
+		}
+	}
 	for _, e := range b.heaviest(slow) {
+		if b.isSlow(slow) && b.copies[e] > 1 && !b.loaded[[2]int{e, slow}] {
+			try(move{expert: e, to: -1, evict: -1, from: slow})
+		}
 		for _, to := range b.coolest(t, used, copies, e) {
 			for _, m := range b.ways(e, slow, to, t) {
-				b.apply(m)
-				m.gain = (before - b.peak()) * float64(len(b.load))
-				b.revert(m)
-				if m.gain > best.gain && m.gain > leastGain {
-					best = m
-				}
+				try(m)
 			}
 		}
 	}
--- a/internal/coordination/placement/even_test.go
+++ b/internal/coordination/placement/even_test.go
@@ -119,6 +119,30 @@
 	}
 }
 
+// TestRebalanceRelievesASlowRank plays a rank that becomes 12 times slower: a
+// few changes must take nearly all of the experts' work off it.
+func TestRebalanceRelievesASlowRank(t *testing.T) {
+	c := qt.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	terms := Terms{Places: 11, MaxNew: 4, ExpertShare: 0.85, CopyTime: 148 * time.Millisecond, SwitchTime: 250 * time.Millisecond, Horizon: 8 * time.Second, CopyPrice: 12 * time.Millisecond}
+	l := turns(6, 64, 8)
+	p := favourites(6, 64, random)
+	speed := []float64{1, 1, 1, 1.0 / 12, 1, 1, 1, 1}
+	before := StepTime(l, p, speed, terms)
+	for range 6 {
+		next, worth := Rebalance(l, p, speed, terms)
+		if !worth {
+			break
+		}
+		c.Assert(validLayout(next, 64, terms), qt.IsNil)
+		l = next
+	}
+	after := StepTime(l, p, speed, terms)
+	t.Logf("step time %.1f before, %.2f after", before, after)
+	// Seven sound ranks that share evenly take 8/7 of the usual time.
+	c.Check(after < 1.6, qt.IsTrue, qt.Commentf("%.2f", after))
+}
+
 func mostNew(from, to expert.Layout) int {
 	most := 0
 	for r := range from[0] {
--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -61,7 +61,7 @@
 	ReadyChanged     = declare(1209, hclog.Info, "readiness changed")
 	RequestDone      = declare(2101, hclog.Info, "request ended")
 	TargetFailed     = declare(2102, hclog.Info, "send to a target failed")
-	TargetSuspended  = declare(3007, hclog.Info, "target gets no new work for a time")
+	TargetSlow       = declare(3007, hclog.Info, "engine says that it is slow")
 	SwitchStarted    = declare(3205, hclog.Info, "change of the expert map started")
 	SwitchEnded      = declare(3206, hclog.Info, "change of the expert map ended")
 	SwitchFailed     = declare(3207, hclog.Warn, "change of the expert map given up")
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -99,7 +99,7 @@
 		shares:   map[string]*retry.Share{},
 		stop:     stop,
 	}
-	g.entries.Store(entriesUnknown)
+	g.setEntries(entriesUnknown)
 	g.pool = upstream.NewPool(g.metrics.opened.Inc)
 	g.follower = follower.New(g.store, follower.Sink{
 		Replace: g.fleet.Replace,
@@ -116,6 +116,7 @@
 	g.ending.Go(func() { g.run(g.traffic, process.SlowWriters(l.Traffic, slowReader)) })
 	g.ending.Go(func() { process.Every(housekeeping, ctx.Done(), g.keepHouse) })
 	g.ending.Go(func() { g.followEntries(ctx) })
+	g.ending.Go(func() { g.followPaces(ctx) })
 	if l.Operator != nil {
 		process.NewOperator(l.Operator, set, process.NewView(g.isReady, g.dump))
 	}
@@ -143,7 +144,7 @@
 		}
 		if registered {
 			if list, err := g.store.Entries(ctx); err == nil {
-				g.entries.Store(int64(max(len(list), 1)))
+				g.setEntries(len(list))
 				pause = entriesEvery
 			}
 		}
@@ -154,6 +155,11 @@
 	}
 }
 
+func (g *Gateway) setEntries(n int) {
+	g.entries.Store(int64(max(n, 1)))
+	g.fleet.SetEntries(n)
+}
+
 func (g *Gateway) keepHouse(now time.Time) {
 	g.fleet.Poll(now)
 	g.pool.Sweep(now)
--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -149,12 +149,12 @@
 }
 
 // failed ends a lease whose target gave no whole answer; a request that was
-// cut by its caller, or because the whole group stands still, says little
-// about the target.
+// cut by its caller, or moved for the sake of its group, does not count
+// against the target.
 func (x *exchange) failed(l *balance.Lease, err error) {
 	event.TargetFailed.Log(x.gateway.log, "id", x.ask.Attempt, "target", l.Target().ID,
 		"error", err.Error(), "may-have-run", x.uncertain)
-	if x.request.Context().Err() != nil || errors.Is(err, errStalled) {
+	if x.request.Context().Err() != nil || errors.Is(err, errStalled) || errors.Is(err, errSlow) {
 		l.Done(balance.Abandoned, 0, time.Now())
 		return
 	}
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -114,7 +114,10 @@
 	silenceAgain = 150 * time.Millisecond
 )
 
-var errStalled = errors.New("the target's group stands still")
+var (
+	errStalled = errors.New("the target's group stands still")
+	errSlow    = errors.New("the target slows its group")
+)
 
 // watch ends a part whose rank group stands still, if the stream may go on at
 // another target.
@@ -155,6 +158,7 @@
 func (x *exchange) events(l *balance.Lease, res *upstream.Response, watch *time.Timer) error {
 	flusher := http.NewResponseController(x.writer)
 	events := newEventReader(res.Body)
+	movable := x.route.Resumable && len(x.tried) < x.route.MaxTargets
 	last := time.Time{}
 	for {
 		e, id, err := events.next()
@@ -187,6 +191,9 @@
 		if id != "" {
 			x.lastEvent = id
 		}
+		if movable && l.Slow(now) {
+			return errSlow
+		}
 	}
 }
 
--- a/internal/transport/rankagent/change.go
+++ b/internal/transport/rankagent/change.go
@@ -22,8 +22,10 @@
 		Prepare: 2*time.Duration(loads)*l.profile.CopyTime + prepareMargin,
 		Arm:     armFor,
 	}
-	event.SwitchStarted.Log(a.log, "group", l.self.Group, "epoch", l.epoch, "version", l.highest, "loads", loads,
-		"skew", placement.Skew(l.layout, l.popularity), "skew-after", placement.Skew(next, l.popularity))
+	event.SwitchStarted.Log(a.log, "group", l.self.Group, "epoch", l.epoch, "version", l.highest, "loads", loads, "slowest-speed", slices.Min(l.speeds()),
+		"skew", placement.Skew(l.layout, l.popularity), "skew-after", placement.Skew(next, l.popularity),
+		"step-time", placement.StepTime(l.layout, l.popularity, l.speeds(), l.terms()),
+		"step-time-after", placement.StepTime(next, l.popularity, l.speeds(), l.terms()))
 	s := mapswitch.New(l.epoch, l.highest, l.self.Rank, len(l.samples), limits, now)
 	l.drive(ctx, s, next)
 	if s.Stage() == mapswitch.Committed {
--- a/internal/transport/rankagent/leader.go
+++ b/internal/transport/rankagent/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -42,6 +43,10 @@
 	switchTime = 200 * time.Millisecond
 	// horizon is how long favourites stay: some seconds on a busy day.
 	horizon = 2500 * time.Millisecond
+	// slowHorizon is the same where an engine is slow, which lasts longer and
+	// costs its group more; slowSpeed is the speed from which it counts so.
+	slowHorizon = 8 * time.Second
+	slowSpeed   = 0.6
 	// copyPrice keeps copies that save little from being loaded: a copy takes
 	// a rank's link and the memory of the engines, which are charged for.
 	copyPrice = 12 * time.Millisecond
@@ -299,13 +304,17 @@
 
 func (l *leader) terms() placement.Terms {
 	p := l.profile
+	ahead := horizon
+	if slices.Min(l.speeds()) < slowSpeed {
+		ahead = slowHorizon
+	}
 	return placement.Terms{
 		Places:      p.Places,
 		MaxNew:      p.MaxNew,
 		ExpertShare: p.ExpertShare,
 		CopyTime:    p.CopyTime,
 		SwitchTime:  switchTime,
-		Horizon:     horizon,
+		Horizon:     ahead,
 		CopyPrice:   copyPrice,
 	}
 }
