An entry that knows no pace of a group lets few streams in

Ruled out: a longer wait at the start (the pauses show only once streams run). Change: until a pause was seen, the streams of all entries may take 0.6 of the goal.

--- a/internal/coordination/balance/group.go
+++ b/internal/coordination/balance/group.go
@@ -75,7 +75,16 @@
 	return streamCost / time.Duration(max(g.size, 1)) * time.Duration(max(1, entries/2))
 }
 
+// blindShare is the part of the goal that the streams of all entries may take
+// while this entry has seen no pause of the group: after an outage callers come
+// back together, and the first pauses show only what has been let in.
+const blindShare = 0.6
+
 // open reports whether another stream keeps the pauses within a goal.
 func (g *group) open(goal time.Duration, entries int, now time.Time) bool {
+	if goal > 0 && now.Sub(g.pace.at) > usualTime {
+		each := streamCost / time.Duration(max(g.size, 1)) * time.Duration(max(entries, 1))
+		return g.streams == 0 || time.Duration(g.streams+1)*each <= time.Duration(blindShare*float64(goal))
+	}
 	return g.pace.open(goal, g.cost(entries), now)
 }
