Requests that would wait too long are refused at once; smaller heaps; fewer calls

Change: the expected wait is the requests ahead times the usual time between grants, and longer once there was no room for 0.7 s; GOGC 25; the configuration's watch waits 2 s, changes of targets are gathered for 0.5 s.

--- a/cmd/bluebellcrank/gateway.go
+++ b/cmd/bluebellcrank/gateway.go
@@ -54,8 +54,15 @@
 	}), w
 }
 
-// limitMemory keeps the process below the memory at which it is killed.
+// collectAt is the growth of the heap, in percent, at which the collector runs.
+// The heaps are small, so that running it often costs little; the runtime's own
+// 100 would let each process grow to 4 MB first.
+const collectAt = 25
+
+// limitMemory keeps the process small, and below the memory at which it is
+// killed.
 func limitMemory(s instance.Settings) {
+	debug.SetGCPercent(collectAt)
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
 	}
--- a/internal/coordination/balance/fleet.go
+++ b/internal/coordination/balance/fleet.go
@@ -59,6 +59,7 @@
 	groups   map[string]*group
 	out      map[string]bool
 	queue    []*Ticket
+	rhythms  map[string]*rhythm
 	entries  int
 }
 
@@ -70,6 +71,7 @@
 		services: map[string][]*member{},
 		groups:   map[string]*group{},
 		out:      map[string]bool{},
+		rhythms:  map[string]*rhythm{},
 	}
 }
 
@@ -198,6 +200,7 @@
 		return nil, verdict
 	}
 	best.own++
+	f.rhythm(n.Service).granted(now)
 	best.sends = append(best.sends, now)
 	if n.Stream {
 		best.group.begin(n.Pause, now)
--- a/internal/coordination/balance/queue.go
+++ b/internal/coordination/balance/queue.go
@@ -14,9 +14,44 @@
 // Granted yields the lease once there is room.
 func (t *Ticket) Granted() <-chan *Lease { return t.grant }
 
-// Wait queues a request behind those of the same or a better priority; it
-// returns nil where most already wait for the service.
-func (f *Fleet) Wait(n Need, most int) *Ticket {
+const (
+	// rhythmWeight is the weight of one grant in the average time between
+	// grants.
+	rhythmWeight = 0.1
+	// rhythmMost bounds one such time, so that an idle night does not count.
+	rhythmMost = 500 * time.Millisecond
+	// shiftTime is how long a rank group without room is expected to have some
+	// soon: its experts are being moved after a shift of favourites.
+	shiftTime = 700 * time.Millisecond
+)
+
+// rhythm is how often a service of this fleet has room for a request.
+type rhythm struct {
+	interval time.Duration
+	last     time.Time
+}
+
+func (r *rhythm) granted(now time.Time) {
+	gap := min(now.Sub(r.last), rhythmMost)
+	r.interval = blend(r.interval, gap, rhythmWeight)
+	r.last = now
+}
+
+// wait is how long a request behind others is expected to wait; a service
+// that has had no room for longer than a shift of favourites takes is expected
+// to have none for as long again.
+func (r *rhythm) wait(ahead int, now time.Time) time.Duration {
+	out := time.Duration(ahead) * r.interval
+	if closed := now.Sub(r.last); closed > shiftTime {
+		out += closed
+	}
+	return out
+}
+
+// Wait queues a request behind those of the same or a better priority. It
+// returns nil where most already wait, or where the request would wait for
+// longer than its patience: such a one is refused at once.
+func (f *Fleet) Wait(n Need, most int, patience time.Duration, now time.Time) *Ticket {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	waiting := 0
@@ -25,7 +60,7 @@
 			waiting++
 		}
 	}
-	if waiting >= most {
+	if waiting >= most || f.rhythm(n.Service).wait(waiting, now) > patience {
 		return nil
 	}
 	t := &Ticket{need: n, grant: make(chan *Lease, 1)}
@@ -37,6 +72,15 @@
 	return t
 }
 
+func (f *Fleet) rhythm(service string) *rhythm {
+	r := f.rhythms[service]
+	if r == nil {
+		r = &rhythm{}
+		f.rhythms[service] = r
+	}
+	return r
+}
+
 // Cancel takes a request out of the queue; a lease that it was granted
 // meanwhile is returned.
 func (f *Fleet) Cancel(t *Ticket) *Lease {
--- a/internal/transport/follower/follower.go
+++ b/internal/transport/follower/follower.go
@@ -19,13 +19,14 @@
 const (
 	// configWait bounds the age of the proof that a key still stands; a
 	// watch's answer counts as one call whether or not there was news.
-	configWait = 1500 * time.Millisecond
+	configWait = 2 * time.Second
 	// listWait is how long the other watches wait. A connection that has gone
 	// silent shows in the configuration's watch, which has them start anew.
 	listWait = 5 * time.Second
 	// gather is the time between two watches of targets, so that changes
-	// which come together take one call.
-	gather = 100 * time.Millisecond
+	// which come together take one call; a deployment allows 2 s and more
+	// until a leaving target gets no new work.
+	gather = 500 * time.Millisecond
 	// retryPause is the time between calls that fail.
 	retryPause = 150 * time.Millisecond
 )
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -84,7 +84,7 @@
 	if wait <= 0 {
 		return nil, v
 	}
-	ticket := f.Wait(x.need(), queueMost)
+	ticket := f.Wait(x.need(), queueMost, wait, now)
 	if ticket == nil {
 		return nil, v
 	}
