--- a/internal/transport/follower/follower.go
+++ b/internal/transport/follower/follower.go
@@ -20,6 +20,11 @@
 	// configWait bounds the age of the proof that a key still stands; a
 	// watch's answer counts as one call whether or not there was news.
 	configWait = 2 * time.Second
+	// leastWait and proofAge shorten the watch that follows on news, whose
+	// answer proves nothing about the time it waited: the next proof has to
+	// come before keys are no longer served, 3.5 s after the last.
+	leastWait = 200 * time.Millisecond
+	proofAge  = 2700 * time.Millisecond
 	// listWait is how long the other watches wait. A connection that has gone
 	// silent shows in the configuration's watch, which has them start anew.
 	listWait = 5 * time.Second
@@ -155,7 +160,8 @@
 	f.prove(asked)
 	for fails := 0; ; {
 		asked = process.BootTime()
-		t, next, err := f.store.WatchConfig(ctx, at, configWait)
+		wait := nextWait(f.Age(asked))
+		t, next, err := f.store.WatchConfig(ctx, at, wait)
 		if err != nil {
 			f.unsound(ctx)
 			if fails++; errors.Is(err, platform.ErrHistoryGone) || fails > 1 {
@@ -166,17 +172,22 @@
 		fails = 0
 		at = next
 		f.adopt(t)
-		f.prove(provenAt(asked, process.BootTime(), t != nil))
+		f.prove(provenAt(asked, process.BootTime(), wait, t != nil))
 	}
 }
 
 // provenAt is the boot time at which the store said that there is nothing
 // newer: an answer without news comes once the wait is over.
-func provenAt(asked, answered time.Duration, news bool) time.Duration {
-	if news || answered < asked+configWait {
+func provenAt(asked, answered, wait time.Duration, news bool) time.Duration {
+	if news || answered < asked+wait {
 		return asked
 	}
-	return asked + configWait
+	return asked + wait
+}
+
+// nextWait is how long the next watch may wait for a proof of an age.
+func nextWait(age time.Duration) time.Duration {
+	return min(configWait, max(leastWait, proofAge-age))
 }
 
 func (f *Follower) prove(at time.Duration) {
