SIGHUP and changed settings files are taken while an entry runs

Ruled out: restarts, which cut requests. Change: process.Run takes a reload; entries read the file every 2 s and on SIGHUP, a file that cannot be used is logged once and changes nothing.

--- a/cmd/bluebellcrank/gateway.go
+++ b/cmd/bluebellcrank/gateway.go
@@ -96,6 +96,7 @@
 		return err
 	}
 	log, w := platformLog(s.Name, c.LogLevel)
-	process.Run(gateway.New(s, log, l, w.Dropped), log)
+	g := gateway.New(s, log, l, gateway.Seams{Settings: platformSettings, Dropped: w.Dropped})
+	process.Run(g, log, g.Reload)
 	return nil
 }
--- a/cmd/bluebellcrank/rank.go
+++ b/cmd/bluebellcrank/rank.go
@@ -42,6 +42,7 @@
 		return err
 	}
 	log, w := platformLog(s.Name, c.LogLevel)
-	process.Run(rankagent.New(s, log, peers, operator, w.Dropped), log)
+	// None of an agent's settings changes while it runs.
+	process.Run(rankagent.New(s, log, peers, operator, w.Dropped), log, func() {})
 	return nil
 }
--- a/cmd/bluebellcrank/settings.go
+++ b/cmd/bluebellcrank/settings.go
@@ -105,6 +105,6 @@
 	do.Provide(parts, func(i do.Injector) (process.Daemon, error) {
 		return start(do.MustInvoke[hclog.Logger](i), do.MustInvoke[process.Listeners](i)), nil
 	})
-	process.Run(do.MustInvoke[process.Daemon](parts), do.MustInvoke[hclog.Logger](parts))
+	process.Run(do.MustInvoke[process.Daemon](parts), do.MustInvoke[hclog.Logger](parts), nil)
 	return nil
 }
--- a/cmd/standin/twin.go
+++ b/cmd/standin/twin.go
@@ -87,6 +87,6 @@
 		return err
 	}
 	log := process.NewLogger(*s)
-	process.Run(start(log, l), log)
+	process.Run(start(log, l), log, nil)
 	return nil
 }
--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -29,6 +29,8 @@
 	ProcessStopped   = declare(1003, hclog.Info, "process stopped")
 	ProcessAborted   = declare(1004, hclog.Warn, "second signal: stopping with requests in flight")
 	ListenerFailed   = declare(1005, hclog.Error, "listener failed")
+	SettingsChanged  = declare(1006, hclog.Info, "settings file changed: new bounds in force")
+	SettingsInvalid  = declare(1007, hclog.Error, "settings file cannot be used: the last good one stays in force")
 	ConfigAdopted    = declare(1101, hclog.Info, "configuration adopted")
 	ConfigInvalid    = declare(1102, hclog.Error, "configuration from the platform or a peer does not check")
 	ConfigFetch      = declare(1103, hclog.Warn, "configuration could not be fetched")
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -43,6 +43,9 @@
 	// staleAfter is the age of the configuration from which a missing route
 	// or key may be news that has not arrived.
 	staleAfter = 2 * time.Second
+	// settingsEvery is the time between two looks at the settings file, which
+	// may change without a signal.
+	settingsEvery = 2 * time.Second
 	// entriesEvery is the time between two reads of the list of entries.
 	entriesEvery = 20 * time.Second
 	// entriesUnknown is the number of entries until the list was read; more
@@ -53,6 +56,12 @@
 // Gateway is a running entry.
 type Gateway struct {
 	settings instance.Settings
+	seams    Seams
+	// bounds are those of the settings in force.
+	bounds atomic.Pointer[instance.Bounds]
+	// invalid is the last fault of the settings file, so that it is logged
+	// once.
+	invalid  string
 	log      hclog.Logger
 	store    *platform.Store
 	follower *follower.Follower
@@ -85,20 +94,30 @@
 	Operator net.Listener
 }
 
+// Seams are what an entry takes from its process.
+type Seams struct {
+	// Settings reads the settings file anew.
+	Settings func() (instance.Settings, error)
+	// Dropped returns how many lines of the log were dropped.
+	Dropped func() uint64
+}
+
 // New starts an entry.
-func New(s instance.Settings, log hclog.Logger, l Listeners, dropped func() uint64) *Gateway {
+func New(s instance.Settings, log hclog.Logger, l Listeners, seams Seams) *Gateway {
 	ctx, stop := context.WithCancel(context.Background())
 	set := metrics.NewSet()
 	g := &Gateway{
 		settings: s,
+		seams:    seams,
 		log:      log,
 		store:    platform.NewStore(s.StoreAddress),
 		fleet:    balance.NewFleet(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		metrics:  newMeters(set, dropped),
+		metrics:  newMeters(set, seams.Dropped),
 		clients:  newClientConns(),
 		shares:   map[string]*retry.Share{},
 		stop:     stop,
 	}
+	g.bounds.Store(&s.Bounds)
 	g.setEntries(entriesUnknown)
 	g.pool = upstream.NewPool(g.metrics.opened.Inc)
 	g.follower = follower.New(g.store, follower.Sink{
@@ -117,6 +136,7 @@
 	g.ending.Go(func() { process.Every(housekeeping, ctx.Done(), g.keepHouse) })
 	g.ending.Go(func() { g.followEntries(ctx) })
 	g.ending.Go(func() { g.followPaces(ctx) })
+	g.ending.Go(func() { process.Every(settingsEvery, ctx.Done(), func(time.Time) { g.Reload() }) })
 	if l.Operator != nil {
 		process.NewOperator(l.Operator, set, process.NewView(g.isReady, g.dump))
 	}
@@ -130,6 +150,28 @@
 	}
 }
 
+// Reload takes the bounds of a changed settings file; the last good ones stay
+// in force while the file cannot be used.
+func (g *Gateway) Reload() {
+	s, err := g.seams.Settings()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err != nil {
+		if text := err.Error(); g.invalid != text {
+			g.invalid = text
+			event.SettingsInvalid.Log(g.log, "error", text)
+		}
+		return
+	}
+	g.invalid = ""
+	if *g.bounds.Load() == s.Bounds {
+		return
+	}
+	g.bounds.Store(&s.Bounds)
+	clear(g.shares)
+	event.SettingsChanged.Log(g.log, "revocation-ms", s.Bounds.Revocation.Milliseconds(), "grace-ms", s.Bounds.Grace.Milliseconds())
+}
+
 // followEntries keeps the number of entries that share the common budgets.
 func (g *Gateway) followEntries(ctx context.Context) {
 	registered := false
@@ -174,7 +216,7 @@
 // proven reports whether keys can still be served: the store said recently
 // enough that the configuration is the newest one.
 func (g *Gateway) proven() bool {
-	return g.follower.Age(process.BootTime()) <= g.settings.Bounds.Revocation-proofMargin
+	return g.follower.Age(process.BootTime()) <= g.bounds.Load().Revocation-proofMargin
 }
 
 func (g *Gateway) isReady() bool {
@@ -198,12 +240,12 @@
 func (g *Gateway) Drain() {
 	began := time.Now()
 	g.draining.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), g.settings.Bounds.Grace-graceMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), g.bounds.Load().Grace-graceMargin)
 	defer cancel()
 	if err := g.store.Deregister(ctx, g.settings.Name); err != nil {
 		event.StoreWrite.Log(g.log, "error", err.Error())
 	}
-	time.Sleep(min(rotationTime, g.settings.Bounds.Grace/3) - time.Since(began))
+	time.Sleep(min(rotationTime, g.bounds.Load().Grace/3) - time.Since(began))
 	if err := g.traffic.Shutdown(ctx); err != nil {
 		event.AnswerBroken.Log(g.log, "error", err.Error())
 	}
@@ -234,7 +276,7 @@
 func (g *Gateway) share(service string) *retry.Share {
 	s := g.shares[service]
 	if s == nil {
-		b := g.settings.Bounds
+		b := g.bounds.Load()
 		s = retry.NewShare(b.RetryRatio, b.RetryExtra, b.RetryWindow)
 		g.shares[service] = s
 	}
@@ -248,7 +290,7 @@
 	if s == nil || s.ColdPerSecond <= 0 {
 		return 0
 	}
-	b := g.settings.Bounds
+	b := g.bounds.Load()
 	const share = 0.8 // the rest is for entries that have just restarted
 	return max(1, int(share*(s.ColdPerSecond*b.ColdFactor+b.ColdExtra)/float64(g.entries.Load())))
 }
--- a/internal/transport/gateway/world_test.go
+++ b/internal/transport/gateway/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -27,6 +28,8 @@
 	address string
 	client  *http.Client
 	version int
+	// settings are what the settings file holds; nil for one that is broken.
+	settings atomic.Pointer[instance.Settings]
 }
 
 type route struct {
@@ -59,7 +62,16 @@
 		TrafficListen: w.address, ReadyListen: l.Ready.Addr().String(),
 		StoreAddress: strings.TrimPrefix(store.URL, "http://"),
 	}
-	w.gateway = New(s, hclog.NewNullLogger(), l, func() uint64 { return 0 })
+	w.settings.Store(&s)
+	w.gateway = New(s, hclog.NewNullLogger(), l, Seams{
+		Settings: func() (instance.Settings, error) {
+			if s := w.settings.Load(); s != nil {
+				return *s, nil
+			}
+			return instance.Settings{}, errors.New("broken")
+		},
+		Dropped: func() uint64 { return 0 },
+	})
 	t.Cleanup(w.gateway.Close)
 	w.eventually("the entry is ready", w.gateway.isReady)
 	return w
--- a/internal/transport/process/run.go
+++ b/internal/transport/process/run.go
@@ -19,10 +19,20 @@
 }
 
 // Run serves until a signal: the first one drains without a limit, a second
-// one ends at once.
-func Run(d Daemon, log hclog.Logger) {
+// one ends at once. SIGHUP calls reload; without one it ends the process, as
+// is usual.
+func Run(d Daemon, log hclog.Logger, reload func()) {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	if reload != nil {
+		hangups := make(chan os.Signal, 1)
+		signal.Notify(hangups, syscall.SIGHUP)
+		go func() {
+			for range hangups {
+				reload()
+			}
+		}()
+	}
 	<-signals
 	event.ProcessDraining.Log(log)
 	drained := make(chan struct{})
