--- a/cmd/bluebellcrank/layers_test.go
+++ b/cmd/bluebellcrank/layers_test.go
@@ -81,7 +81,7 @@
 
 func TestReasonsAreDocumented(t *testing.T) {
 	c := qt.New(t)
-	content, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATING.md"))
+	content, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
 	c.Assert(err, qt.IsNil)
 	for _, r := range refusal.Reasons() {
 		c.Check(string(content), qt.Contains, "`"+string(r)+"`")
--- a/cmd/bluebellcrank/settings_test.go
+++ b/cmd/bluebellcrank/settings_test.go
@@ -66,7 +66,7 @@
 	}
 }
 
-// settingRows are the rows of a daemon's settings in docs/OPERATING.md.
+// settingRows are the rows of a daemon's settings in docs/OPERATIONS.md.
 func settingRows(t *testing.T, daemon string) []string {
 	var c commands
 	parser, err := kong.New(&c, kong.DefaultEnvars("BLUEBELLCRANK"))
@@ -90,7 +90,7 @@
 
 func TestSettingsAreDocumented(t *testing.T) {
 	c := qt.New(t)
-	content, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATING.md"))
+	content, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
 	c.Assert(err, qt.IsNil)
 	for _, daemon := range []string{"entry", "agent"} {
 		rows := settingRows(t, daemon)
--- a/internal/state/refusal/refusal.go
+++ b/internal/state/refusal/refusal.go
@@ -15,7 +15,7 @@
 // Reason is why a request was refused, out of a closed set.
 type Reason string
 
-// The reasons; docs/OPERATING.md says what an operator does about each.
+// The reasons; docs/OPERATIONS.md says what an operator does about each.
 const (
 	BadRequest       Reason = "bad-request"
 	NoKey            Reason = "idempotency-key-missing"
