--- a/internal/transport/rankagent/leader.go
+++ b/internal/transport/rankagent/leader.go
@@ -50,9 +50,9 @@
 	// costs its group more; slowSpeed is the speed from which it counts so.
 	slowHorizon = 8 * time.Second
 	slowSpeed   = 0.6
-	// copyPrice keeps copies that save little from being loaded: a copy takes
-	// a rank's link and the memory of the engines, which are charged for.
-	copyPrice = 12 * time.Millisecond
+	// copyShare keeps copies that save little from being loaded: a copy has to
+	// save this part of its own load time in steps of the group.
+	copyShare = 0.3
 )
 
 // leader is an agent's part as the leader of its group; all of it runs on one
@@ -324,7 +324,7 @@
 		CopyTime:    p.CopyTime,
 		SwitchTime:  switchTime,
 		Horizon:     ahead,
-		CopyPrice:   copyPrice,
+		CopyPrice:   time.Duration(copyShare * float64(p.CopyTime)),
 	}
 }
 
