--- a/cmd/bluebellcrank/gateway.go
+++ b/cmd/bluebellcrank/gateway.go
@@ -27,6 +27,12 @@
 const memoryShare = 0.7
 
 type gatewayCmd struct {
+	platformFlags `embed:""`
+}
+
+// platformFlags are what the programs on the users' platform take beside the
+// platform's settings file.
+type platformFlags struct {
 	OperatorPort int    `name:"operator-port" default:"9464" help:"Port of metrics, health and dump; 0 is none."`
 	LogLevel     string `name:"log-level" default:"info" enum:"trace,debug,info,warn,error" help:"Lowest level that is logged."`
 }
--- a/cmd/bluebellcrank/rank.go
+++ b/cmd/bluebellcrank/rank.go
@@ -16,8 +16,7 @@
 `
 
 type rankCmd struct {
-	OperatorPort int    `name:"operator-port" default:"9464" help:"Port of metrics, health and dump; 0 is none."`
-	LogLevel     string `name:"log-level" default:"info" enum:"trace,debug,info,warn,error" help:"Lowest level that is logged."`
+	platformFlags `embed:""`
 }
 
 // Help implements kong.HelpProvider.
--- a/internal/coordination/balance/fleet.go
+++ b/internal/coordination/balance/fleet.go
@@ -185,7 +185,7 @@
 		if !m.usable(f.out) || slices.Contains(n.Tried, m.target.ID) {
 			continue
 		}
-		if m.suspended(now) || m.group.barred(m.target.Broken, now) {
+		if m.suspended(now) || m.group.isClosed(m.target.Broken, now) {
 			continue
 		}
 		verdict = Full
@@ -249,14 +249,14 @@
 	f.serveQueue(now)
 }
 
-// Troubled returns the targets of groups whose pauses are too long, one of
+// OverGoal returns the targets of groups whose pauses are too long, one of
 // which may be slow.
-func (f *Fleet) Troubled(now time.Time) []fleet.Target {
+func (f *Fleet) OverGoal(now time.Time) []fleet.Target {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []fleet.Target
 	for _, m := range f.members {
-		if m.target.Group != "" && m.group.troubled(now) {
+		if m.target.Group != "" && m.group.isOverGoal(now) {
 			out = append(out, m.target)
 		}
 	}
@@ -278,7 +278,7 @@
 func (l *Lease) Slow(now time.Time) bool {
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
-	return l.member.slow(now) && l.member.group.troubled(now)
+	return l.member.slow(now) && l.member.group.isOverGoal(now)
 }
 
 // Stalled reports whether no stream of the target's group gets events.
--- a/internal/coordination/balance/group.go
+++ b/internal/coordination/balance/group.go
@@ -26,7 +26,7 @@
 	lively time.Time
 	// until is how long a target's word keeps work off the group.
 	until time.Time
-	// probed is when a request was sent to the barred group last.
+	// probed is when a request was sent to the isClosed group last.
 	probed time.Time
 	// goal is the longest good pause of the streams sent here last.
 	goal time.Duration
@@ -53,15 +53,15 @@
 	return g.streams > 0 && now.Sub(g.lively) > max(stallAfter, stallPauses*g.pace.usual)
 }
 
-// troubled reports whether the pauses are too long for the streams' goal, and
+// isOverGoal reports whether the pauses are too long for the streams' goal, and
 // not just for a moment.
-func (g *group) troubled(now time.Time) bool {
+func (g *group) isOverGoal(now time.Time) bool {
 	return g.goal > 0 && now.Sub(g.pace.at) < usualTime && min(g.pace.usual, g.pace.mean) > g.goal
 }
 
-// barred reports whether the group gets no new work but a probe now and then;
+// isClosed reports whether the group gets no new work but a probe now and then;
 // broken is what the list of targets says.
-func (g *group) barred(broken bool, now time.Time) bool {
+func (g *group) isClosed(broken bool, now time.Time) bool {
 	if !broken && !now.Before(g.until) && !g.stalled(now) {
 		return false
 	}
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -21,7 +21,7 @@
 	gateway *Gateway
 	writer  http.ResponseWriter
 	request *http.Request
-	ask     platform.Ask
+	client  platform.ClientRequest
 	table   *routing.Table
 	route   *routing.Route
 	service string
@@ -110,7 +110,7 @@
 	x.target = t.ID
 	x.tried = append(x.tried, t.ID)
 	now := time.Now()
-	header := platform.ForwardHeader(x.request.Header, platform.Send{
+	header := platform.ForwardHeader(x.request.Header, platform.TargetRequest{
 		Target:    t.ID,
 		Account:   x.account,
 		Left:      x.deadline.Sub(now),
@@ -130,7 +130,7 @@
 		Recent:  recent,
 		Mine: func(h http.Header) bool {
 			got := platform.ReadAnswer(http.StatusOK, h).Attempt
-			return got == "" || got == x.ask.Attempt
+			return got == "" || got == x.client.Attempt
 		},
 	})
 	if err != nil {
@@ -164,7 +164,7 @@
 	if status != http.StatusServiceUnavailable {
 		retryAfter = 0
 	}
-	platform.StampRefusal(x.writer.Header(), x.ask.Attempt, retryAfter)
+	platform.StampRefusal(x.writer.Header(), x.client.Attempt, retryAfter)
 	text := string(reason) + "\n"
 	x.writer.Header().Set("Content-Type", "text/plain")
 	x.writer.Header().Set("Content-Length", strconv.Itoa(len(text)))
@@ -191,7 +191,7 @@
 	if x.begun {
 		first = x.firstByte.Sub(x.began)
 	}
-	event.RequestDone.Log(g.log, "id", x.ask.Attempt, "route", route, "service", x.service,
+	event.RequestDone.Log(g.log, "id", x.client.Attempt, "route", route, "service", x.service,
 		"account", x.account, "target", x.target, "status", status, "reason", reason,
 		"sends", x.sends, "uncertain", x.uncertain, "first-ms", first.Milliseconds(),
 		"longest-pause-ms", x.longestPause.Milliseconds(),
@@ -199,7 +199,7 @@
 		"proof-age-ms", g.follower.Age(process.BootTime()).Milliseconds())
 }
 
-// comeBack spreads the return of refused clients between the two times.
-func comeBack(soonest, latest time.Duration) time.Duration {
+// retryDelay spreads the return of refused clients between the two times.
+func retryDelay(soonest, latest time.Duration) time.Duration {
 	return soonest + rand.N(latest-soonest)
 }
--- a/internal/transport/gateway/paces.go
+++ b/internal/transport/gateway/paces.go
@@ -27,7 +27,7 @@
 			return
 		}
 		var asked sync.WaitGroup
-		for _, t := range g.fleet.Troubled(time.Now()) {
+		for _, t := range g.fleet.OverGoal(time.Now()) {
 			asked.Go(func() { g.askPace(ctx, t) })
 		}
 		asked.Wait()
--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -40,7 +40,7 @@
 		}
 		if !x.allowed(l) {
 			l.Done(balance.Abandoned, 0, now)
-			x.refuse(refusal.PlatformDown, comeBack(soonBack, lateBack))
+			x.refuse(refusal.PlatformDown, retryDelay(retrySoonest, retryLatest))
 			return
 		}
 		a, again, reason := x.try(ctx, l)
@@ -49,7 +49,7 @@
 			return
 		}
 		if !again || !x.another(ctx) {
-			x.refuse(reason, comeBack(soonBack, lateBack))
+			x.refuse(reason, retryDelay(retrySoonest, retryLatest))
 			return
 		}
 	}
@@ -63,9 +63,9 @@
 	case ctx.Err() != nil:
 		x.refuse(x.late(), 0)
 	case v == balance.Absent:
-		x.refuse(refusal.NoTarget, comeBack(restartBack, restartedBack))
+		x.refuse(refusal.NoTarget, retryDelay(restartSoonest, restartLatest))
 	default:
-		x.refuse(refusal.Full, comeBack(soonBack, lateBack))
+		x.refuse(refusal.Full, retryDelay(retrySoonest, retryLatest))
 	}
 }
 
@@ -87,7 +87,7 @@
 		return false
 	}
 	if !x.gateway.spend(x.service, time.Now()) {
-		event.RetrySpent.Log(x.gateway.log, "id", x.ask.Attempt, "service", x.service)
+		event.RetrySpent.Log(x.gateway.log, "id", x.client.Attempt, "service", x.service)
 		return false
 	}
 	x.gateway.metrics.repeats.Inc()
@@ -152,7 +152,7 @@
 // cut by its caller, or moved for the sake of its group, does not count
 // against the target.
 func (x *exchange) failed(l *balance.Lease, err error) {
-	event.TargetFailed.Log(x.gateway.log, "id", x.ask.Attempt, "target", l.Target().ID,
+	event.TargetFailed.Log(x.gateway.log, "id", x.client.Attempt, "target", l.Target().ID,
 		"error", err.Error(), "may-have-run", x.uncertain)
 	if x.request.Context().Err() != nil || errors.Is(err, errStalled) || errors.Is(err, errSlow) {
 		l.Done(balance.Abandoned, 0, time.Now())
@@ -226,7 +226,7 @@
 	if a.rest != nil {
 		if _, copied := io.Copy(x.writer, a.rest.Body); copied != nil {
 			a.rest.Close(time.Now())
-			x.breakOff(copied)
+			x.abort(copied)
 		}
 		a.rest.Close(time.Now())
 	}
@@ -238,10 +238,10 @@
 	x.ended(a.status, "")
 }
 
-// breakOff ends the client's connection, so that an answer that is not whole
+// abort ends the client's connection, so that an answer that is not whole
 // does not look so.
-func (x *exchange) breakOff(err error) {
-	event.AnswerBroken.Log(x.gateway.log, "id", x.ask.Attempt, "error", err.Error())
+func (x *exchange) abort(err error) {
+	event.AnswerBroken.Log(x.gateway.log, "id", x.client.Attempt, "error", err.Error())
 	x.ended(0, string(refusal.AnswerLost))
 	panic(http.ErrAbortHandler)
 }
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -16,24 +16,24 @@
 )
 
 const (
-	// soonBack and lateBack spread the return of clients that were refused
+	// retrySoonest and retryLatest spread the return of clients that were refused
 	// because of a state that passes within a second or two.
-	soonBack = 300 * time.Millisecond
-	lateBack = 1500 * time.Millisecond
-	// restartBack and restartedBack do so when no target is there: servers
+	retrySoonest = 300 * time.Millisecond
+	retryLatest  = 1500 * time.Millisecond
+	// restartSoonest and restartLatest do so when no target is there: servers
 	// are back some seconds after they were lost.
-	restartBack   = 1200 * time.Millisecond
-	restartedBack = 2600 * time.Millisecond
+	restartSoonest = 1200 * time.Millisecond
+	restartLatest  = 2600 * time.Millisecond
 )
 
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
-	x := &exchange{gateway: g, writer: w, request: r, ask: platform.ReadAsk(r.Header), began: now}
+	x := &exchange{gateway: g, writer: w, request: r, client: platform.ReadClientRequest(r.Header), began: now}
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	if reason := x.resolve(); reason != "" {
-		x.refuse(reason, comeBack(soonBack, lateBack))
+		x.refuse(reason, retryDelay(retrySoonest, retryLatest))
 		return
 	}
 	if reason := x.readBody(); reason != "" {
@@ -41,8 +41,8 @@
 		return
 	}
 	wait := x.route.Timeout
-	if x.ask.Deadline > 0 {
-		wait = min(wait, x.ask.Deadline)
+	if x.client.Deadline > 0 {
+		wait = min(wait, x.client.Deadline)
 	}
 	x.deadline = now.Add(wait)
 	x.goal = now.Add(x.route.FirstByteGoal)
@@ -74,7 +74,7 @@
 	}
 	x.priority = x.route.Priority
 	if x.table.Keyed() && !x.route.Anonymous {
-		a := x.table.Account(x.ask.Key)
+		a := x.table.Account(x.client.Key)
 		switch {
 		case a == nil && age > staleAfter:
 			return refusal.NotReady
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -33,7 +33,7 @@
 			if x.begun {
 				x.cut(ctx, errors.New("the key or the target is no longer good"))
 			}
-			x.refuse(refusal.PlatformDown, comeBack(soonBack, lateBack))
+			x.refuse(refusal.PlatformDown, retryDelay(retrySoonest, retryLatest))
 			return
 		}
 		ended, reason, err := x.part(ctx, l)
@@ -44,12 +44,12 @@
 			if x.begun {
 				x.cut(ctx, err)
 			}
-			x.refuse(reason, comeBack(soonBack, lateBack))
+			x.refuse(reason, retryDelay(retrySoonest, retryLatest))
 			return
 		}
 		if x.begun {
 			x.gateway.metrics.resumes.Inc()
-			event.AnswerResumed.Log(x.gateway.log, "id", x.ask.Attempt, "after", x.lastEvent)
+			event.AnswerResumed.Log(x.gateway.log, "id", x.client.Attempt, "after", x.lastEvent)
 		}
 	}
 }
@@ -60,7 +60,7 @@
 		x.ended(0, string(refusal.Cancelled))
 		panic(http.ErrAbortHandler)
 	}
-	x.breakOff(errors.Join(err, ctx.Err()))
+	x.abort(errors.Join(err, ctx.Err()))
 }
 
 // part takes events from one target. It reports whether the request is done.
