The script of TestPlainRequests' targets is free of a race

Only cases that send twice touch it from two goroutines, so most runs missed it.

Ruled out: a race in the gateway; both stacks of the report are the test's own handler.

The flag is an atomic swap now; what each case checks is unchanged.

--- a/internal/transport/gateway/plain_test.go
+++ b/internal/transport/gateway/plain_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,19 +48,17 @@
 		t.Run(tt.name, func(t *testing.T) {
 			c := qt.New(t)
 			w := newWorld(t)
-			first := true
+			var asked atomic.Bool
 			var targets []*standin.Target
 			for n := range 2 {
 				target := &standin.Target{ID: fmt.Sprintf("t-%d", n)}
 				target.Answer = func(rw http.ResponseWriter, r *http.Request) {
 					switch {
-					case !first:
+					case asked.Swap(true):
 						_, _ = rw.Write([]byte("ok"))
 					case tt.answer == "":
-						first = false
 						standin.Reset(rw, r)
 					default:
-						first = false
 						standin.Raw(tt.answer)(rw, r)
 					}
 				}
