A held rank group is released while its leader's machine stands still

The leader held the step at its own rank, so the engine that had to be told to release stood still as well: half of the fleet for 4 s.

Ruled out: a lower lock life (the successor led after 1 s, but the held engine answered nobody); holding without the leader (an agent that is told to hold is then the machine that gave the last order).

The leader has another rank's engine hold the step, and arms its own rank last. While any other rank is not armed, the leader's is not either, so that a successor may undo the change without it. Takeovers start sooner: an agent knows its rank from the samples it answers, silent engines are asked at once, a call takes 250 ms at most.

The model of the switch freezes the coordinator's machine now, and found two faults on the way. A coordinator that took over and then stood still may be armed (only the one that began the change may be absent; its twin is kept).

--- a/internal/coordination/mapswitch/switch.go
+++ b/internal/coordination/mapswitch/switch.go
@@ -1,6 +1,7 @@
 package mapswitch
 
 import (
+	"slices"
 	"time"
 
 	"bluebellcrank/internal/state/expert"
@@ -73,33 +74,55 @@
 	Arm time.Duration
 }
 
+// Roles are the ranks that have a part of their own in a change.
+type Roles struct {
+	// Coordinator is the rank of the agent that runs the change. It is armed
+	// last and undone first: while any other rank is not armed, neither is the
+	// coordinator's, even if its machine answers nobody.
+	Coordinator int
+	// Holder is the rank that holds the step. It should not be the
+	// coordinator's, whose machine is the busiest of the group: a machine that
+	// stands still keeps its engine from being told to release the step.
+	Holder int
+	// Absent is the rank of the last coordinator, whose machine answers nobody;
+	// NoRank for none. It is not waited for.
+	Absent int
+}
+
+// NoRank stands for no rank.
+const NoRank = -1
+
 // Switch is one change of a group's map. It is not safe for concurrent use.
 type Switch struct {
 	epoch   int64
 	version int64
-	holder  int
+	roles   Roles
 	limits  Limits
 	stage   Stage
 	since   time.Time
 	step    int64
+	// behind is a step that is not to be used again.
+	behind  int64
 	reports []*expert.RankReport
 	// unsure are the ranks where an Arm may still be carried out.
 	unsure []bool
 	// lossy says that an order went unanswered.
 	lossy bool
-	// inherited says that another coordinator began the change.
-	inherited bool
+	// looking says that an aborted change was not looked at yet, and nothing
+	// of it undone.
+	looking bool
 }
 
 // New starts a change to a version that is higher than any that a rank of the
-// group has had; the version after it is used as well. The holder is the rank
-// that holds the step.
-func New(epoch, version int64, holder, ranks int, l Limits, now time.Time) *Switch {
+// group has had; the version after it is used as well. The change uses a step
+// behind the given one: a late release of that one may still be carried out.
+func New(epoch, version int64, r Roles, ranks int, behind int64, l Limits, now time.Time) *Switch {
 	return &Switch{
 		epoch:   epoch,
 		version: version,
-		holder:  holder,
+		roles:   r,
 		limits:  l,
+		behind:  behind,
 		stage:   Preparing,
 		since:   now,
 		reports: make([]*expert.RankReport, ranks),
@@ -110,12 +133,13 @@
 // Recover takes over from a coordinator that is gone while a rank holds a
 // step. Where every rank is armed the change is committed, since the release
 // may be on its way already; else it is undone, and every rank may be armed by
-// a late order until it is fenced.
-func Recover(epoch, version, step int64, holder, ranks int, now time.Time) *Switch {
-	s := New(epoch, version, holder, ranks, Limits{}, now)
+// a late order until it is fenced. Where a rank is absent and all others are
+// armed, nothing can be done before its state is known, and the change fails.
+func Recover(epoch, version, step int64, r Roles, ranks int, now time.Time) *Switch {
+	s := New(epoch, version, r, ranks, 0, Limits{}, now)
 	s.stage = Aborting
 	s.step = step
-	s.inherited = true
+	s.looking = true
 	for r := range s.unsure {
 		s.unsure[r] = true
 	}
@@ -143,6 +167,9 @@
 	s.advance(now)
 	var out []Order
 	for r := range s.reports {
+		if r == s.roles.Absent {
+			continue
+		}
 		if o := s.order(r); o.Kind != "" {
 			out = append(out, o)
 		}
@@ -163,40 +190,82 @@
 			o.Kind = ""
 		}
 	case Holding:
-		if rank == s.holder {
+		if rank == s.roles.Holder {
 			o.Kind = Hold
 		}
 	case Arming:
-		if r == nil || r.Armed != s.version {
+		if !s.isArmed(rank) && (rank != s.roles.Coordinator || s.othersArmed()) {
 			o.Kind = Arm
 		}
 	case Aborting:
 		o.Kind, o.Version = s.undo(rank)
 	case Committing, Yielding:
-		if rank == s.holder {
+		if rank == s.roles.Holder {
 			o.Kind = Release
 		}
 	}
 	return o
 }
 
+func (s *Switch) isArmed(rank int) bool {
+	r := s.reports[rank]
+	return r != nil && r.Armed == s.version
+}
+
+// othersArmed reports whether every rank but the coordinator's is armed.
+func (s *Switch) othersArmed() bool {
+	for r := range s.reports {
+		if r != s.roles.Coordinator && !s.isArmed(r) {
+			return false
+		}
+	}
+	return true
+}
+
 // undo returns what a rank still needs before the held step may begin without
-// the new map.
+// the new map; it may have to wait for another rank. Ranks that are not armed
+// are fenced before any other is disarmed: whoever takes over then never finds
+// all ranks armed, and commits, while a late Disarm is on its way.
 func (s *Switch) undo(rank int) (Kind, int64) {
 	r := s.reports[rank]
 	switch {
 	case r == nil:
 		return Look, 0
-	case s.inherited:
+	case s.looking:
 		return "", 0
-	case r.Armed != 0:
-		return Disarm, r.Armed
-	case s.unsure[rank] && r.Prepared != s.fence():
+	case r.Armed == 0 && s.needsFence(rank):
 		return Fence, s.fence()
+	case r.Armed != 0 && s.mayDisarm(rank):
+		return Disarm, r.Armed
 	}
 	return "", 0
 }
 
+// needsFence reports whether a rank that is not armed could still be.
+func (s *Switch) needsFence(rank int) bool {
+	return s.reports[rank].Prepared != s.fence() && (s.unsure[rank] || s.someRank(func(r *expert.RankReport) bool { return r.Armed != 0 }))
+}
+
+// mayDisarm reports whether it is a rank's turn: some rank is fenced, and the
+// coordinator's is undone.
+func (s *Switch) mayDisarm(rank int) bool {
+	if !s.someRank(func(r *expert.RankReport) bool { return r.Armed == 0 && r.Prepared == s.fence() }) {
+		return false
+	}
+	return rank == s.roles.Coordinator || s.isUndone(s.roles.Coordinator)
+}
+
+// isUndone reports whether a rank is not armed, nor can be by a late order.
+func (s *Switch) isUndone(rank int) bool {
+	r := s.reports[rank]
+	return r != nil && r.Armed == 0 && !s.needsFence(rank)
+}
+
+// someRank reports whether a condition holds for the last report of a rank.
+func (s *Switch) someRank(is func(r *expert.RankReport) bool) bool {
+	return slices.ContainsFunc(s.reports, func(r *expert.RankReport) bool { return r != nil && is(r) })
+}
+
 // Report takes a rank's state as it was read after an order; answered says
 // whether the engine answered that order.
 func (s *Switch) Report(o Order, r expert.RankReport, answered bool, now time.Time) {
@@ -235,9 +304,13 @@
 	s.stage, s.since = next, now
 }
 
-// all reports whether a condition holds for the last report of every rank.
+// all reports whether a condition holds for the last report of every rank that
+// is not absent.
 func (s *Switch) all(is func(r *expert.RankReport) bool) bool {
-	for _, r := range s.reports {
+	for n, r := range s.reports {
+		if n == s.roles.Absent {
+			continue
+		}
 		if r == nil || !is(r) {
 			return false
 		}
@@ -278,6 +351,7 @@
 	if s.lossy {
 		margin = lossyMargin
 	}
+	s.step = max(s.step, s.behind+1)
 	for _, r := range s.reports {
 		s.step = max(s.step, r.Step+margin)
 	}
@@ -286,7 +360,7 @@
 // advanceHold goes on once the step is held. A step that began before the hold
 // arrived is given up for a later one: the late hold is refused then.
 func (s *Switch) advanceHold(now time.Time, spent time.Duration) {
-	h := s.reports[s.holder]
+	h := s.reports[s.roles.Holder]
 	switch {
 	case h.Held == s.step:
 		s.enter(Arming, now)
@@ -303,24 +377,31 @@
 	if !s.all(func(*expert.RankReport) bool { return true }) {
 		return
 	}
-	if s.inherited {
+	if s.looking {
 		// Nothing was undone yet, so that what is seen holds.
-		s.inherited = false
-		if s.all(func(r *expert.RankReport) bool { return r.Armed != 0 && r.Armed == s.reports[0].Armed }) {
+		s.looking = false
+		armed := s.reports[s.roles.Holder].Armed
+		if s.all(func(r *expert.RankReport) bool { return r.Armed != 0 && r.Armed == armed }) {
+			if s.roles.Absent != NoRank {
+				s.enter(Failed, now)
+				return
+			}
 			s.enter(Committing, now)
 			return
 		}
 	}
 	for r := range s.reports {
-		if k, _ := s.undo(r); k != "" {
+		if r != s.roles.Absent && !s.isUndone(r) {
 			return
 		}
 	}
 	s.enter(Yielding, now)
 }
 
-// abort reads every rank anew before it undoes anything.
+// abort reads every rank anew before it undoes anything: all may be armed by
+// now.
 func (s *Switch) abort(now time.Time) {
+	s.looking = true
 	for r := range s.reports {
 		s.reports[r] = nil
 	}
@@ -329,7 +410,7 @@
 
 // advanceRelease ends the change once the holder holds nothing.
 func (s *Switch) advanceRelease(now time.Time) {
-	if h := s.reports[s.holder]; h == nil || h.Held != 0 {
+	if h := s.reports[s.roles.Holder]; h == nil || h.Held != 0 {
 		return
 	}
 	if s.stage == Committing {
--- a/internal/coordination/mapswitch/switch_test.go
+++ b/internal/coordination/mapswitch/switch_test.go
@@ -43,11 +43,18 @@
 	nextAt  time.Duration
 	mixed   error
 	changes int
+	// last is the step of the last change.
+	last int64
+	// coordinator is the rank whose machine may stand still.
+	coordinator int
+	// frozen is a rank whose machine stands still until thaw.
+	frozen int
+	thaw   time.Duration
 }
 
 func newWorld(seed uint64, ranks int) *world {
 	r := rand.New(rand.NewPCG(seed, 0))
-	return &world{random: r, epoch: 1, ranks: make([]rank, ranks), loss: []float64{0, 0.3, 0.5, 0.7}[r.IntN(4)]}
+	return &world{random: r, epoch: 1, frozen: NoRank, ranks: make([]rank, ranks), loss: []float64{0, 0.3, 0.5, 0.7}[r.IntN(4)]}
 }
 
 func (w *world) time() time.Time { return time.Unix(0, 0).Add(w.now) }
@@ -106,9 +113,12 @@
 // tick lets 10 ms pass: late orders, loaded experts, perhaps a pass.
 func (w *world) tick() {
 	w.now += 10 * time.Millisecond
+	if w.now >= w.thaw {
+		w.frozen = NoRank
+	}
 	kept := w.lates[:0]
 	for _, l := range w.lates {
-		if l.at <= w.now {
+		if l.at <= w.now && l.order.Rank != w.frozen {
 			w.apply(l.order, l.epoch)
 			continue
 		}
@@ -134,7 +144,7 @@
 // form is the group's new start after a rank was lost.
 func (w *world) form() {
 	w.epoch++
-	w.step = 0
+	w.step, w.last = 0, 0
 	for n := range w.ranks {
 		w.ranks[n] = rank{}
 	}
@@ -162,37 +172,63 @@
 	}
 }
 
-// coordinate runs changes for a while; the coordinator dies now and then.
-func (w *world) coordinate(fenced bool, span time.Duration) {
+// guards are what a coordinator does against mixed maps.
+type guards struct {
+	// fenced ranks cannot be armed by a late order.
+	fenced bool
+	// ordered says that only the coordinator's rank may be absent.
+	ordered bool
+	// beginner says that this is the coordinator that began the change, not
+	// one that took it over.
+	beginner bool
+}
+
+// freeze has the machine of the coordinator stand still, or that of any rank.
+func (w *world) freeze(g guards) {
+	w.frozen = w.coordinator
+	if !g.ordered {
+		w.frozen = w.random.IntN(len(w.ranks))
+	}
+	w.thaw = w.now + time.Duration(500+w.random.IntN(4000))*time.Millisecond
+}
+
+// coordinate runs changes for a while; the coordinator dies now and then, or
+// its machine stands still.
+func (w *world) coordinate(g guards, span time.Duration) {
 	version := int64(0)
 	var s *Switch
 	for w.now < span {
 		if w.random.Float64() < 0.003 {
-			s = nil // the coordinator dies; another one starts later
+			s = nil // another one starts later
+			if w.random.IntN(2) == 0 {
+				w.freeze(g)
+			}
 			for range 10 + w.random.IntN(100) {
 				w.tick()
 			}
 		}
 		if s == nil || s.Ended() {
-			s = w.next(&version)
+			s = w.next(g, &version)
+		}
+		if s != nil {
+			w.last = max(w.last, s.Step())
 		}
 		if s == nil {
 			w.tick()
 			continue
 		}
 		for _, o := range s.Orders(w.time()) {
-			answered := w.send(o)
-			if !fenced {
-				answered = true
-			}
+			skipped := o.Kind == Fence && !g.fenced
+			answered := skipped || w.send(o)
 			if w.random.Float64() < 0.1 {
 				s.Unanswered(o)
 				continue
 			}
-			s.Report(o, w.report(o.Rank), answered, w.time())
-		}
-		if !fenced {
-			clear(s.unsure)
+			r := w.report(o.Rank)
+			if skipped {
+				r.Prepared = o.Version
+			}
+			s.Report(o, r, answered, w.time())
 		}
 		w.tick()
 	}
@@ -200,21 +236,30 @@
 
 // next is what a coordinator begins with: it takes over a held step, or waits
 // until nothing is armed and starts a change.
-func (w *world) next(version *int64) *Switch {
+func (w *world) next(g guards, version *int64) *Switch {
+	roles := Roles{Coordinator: w.random.IntN(len(w.ranks)), Holder: w.random.IntN(len(w.ranks)), Absent: w.frozen}
+	if roles.Coordinator == w.frozen {
+		return nil
+	}
 	for n, r := range w.ranks {
-		if r.held != 0 {
+		if r.held != 0 && n != w.frozen {
 			*version += 4
-			return Recover(w.epoch, *version, r.held, n, len(w.ranks), w.time())
+			if !g.beginner {
+				w.coordinator = roles.Coordinator
+			}
+			roles.Holder = n
+			return Recover(w.epoch, *version, r.held, roles, len(w.ranks), w.time())
 		}
 	}
 	for _, r := range w.ranks {
-		if r.armed != 0 {
+		if r.armed != 0 || w.frozen != NoRank {
 			return nil
 		}
 	}
 	*version += 4
+	w.coordinator = roles.Coordinator
 	l := Limits{Prepare: 2 * time.Second, Arm: 300 * time.Millisecond}
-	return New(w.epoch, *version, w.random.IntN(len(w.ranks)), len(w.ranks), l, w.time())
+	return New(w.epoch, *version, roles, len(w.ranks), w.last, l, w.time())
 }
 
 func TestAllRanksUseOneMap(t *testing.T) {
@@ -222,7 +267,7 @@
 	changes := 0
 	for seed := range uint64(1200) {
 		w := newWorld(seed, 2+int(seed%4))
-		w.coordinate(true, 60*time.Second)
+		w.coordinate(guards{fenced: true, ordered: true, beginner: true}, 60*time.Second)
 		c.Check(w.mixed, qt.IsNil, qt.Commentf("seed %d", seed))
 		changes += w.changes
 	}
@@ -230,16 +275,27 @@
 	t.Logf("%d changes of a rank's map", changes)
 }
 
-// TestTwinWithoutFence shows that the worlds above find the fault that the
-// fence is for.
-func TestTwinWithoutFence(t *testing.T) {
-	for seed := range uint64(20_000) {
-		w := newWorld(seed, 2+int(seed%4))
-		w.coordinate(false, 60*time.Second)
-		if w.mixed != nil {
-			t.Logf("seed %d: %v", seed, w.mixed)
-			return
-		}
+// TestTwins shows that the worlds above find the faults that each guard is for.
+func TestTwins(t *testing.T) {
+	tests := []struct {
+		name   string
+		guards guards
+	}{
+		{"without the fence", guards{ordered: true, beginner: true}},
+		{"any rank may be absent", guards{fenced: true, beginner: true}},
+		{"whoever took over may be absent", guards{fenced: true, ordered: true}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for seed := range uint64(20_000) {
+				w := newWorld(seed, 2+int(seed%4))
+				w.coordinate(tt.guards, 60*time.Second)
+				if w.mixed != nil {
+					t.Logf("seed %d: %v", seed, w.mixed)
+					return
+				}
+			}
+			t.Fatal("no world shows two maps without the guard")
+		})
 	}
-	t.Fatal("no world shows two maps without the fence")
 }
--- a/internal/protocol/peer/pool.go
+++ b/internal/protocol/peer/pool.go
@@ -16,6 +16,7 @@
 // ErrUnreachable says that no answer came; the call may have taken effect.
 var ErrUnreachable = errors.New("peer: unreachable")
 
+// dialTimeout bounds the time to connect where calls may take longer.
 const dialTimeout = 500 * time.Millisecond
 
 // Pool keeps one connection to each peer that was called.
@@ -158,7 +159,7 @@
 }
 
 func (p *Pool) dial(address string) (*jsonrpc2.Conn, error) {
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	conn, err := net.DialTimeout("tcp", address, min(dialTimeout, p.timeout))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrUnreachable, err)
 	}
--- a/internal/state/expert/layout.go
+++ b/internal/state/expert/layout.go
@@ -18,6 +18,25 @@
 	return out
 }
 
+// Adopt gives a rank every expert that no other rank holds; the rank's own
+// list is dropped. Experts are numbered from 0 in each set.
+func (l Layout) Adopt(rank, experts int) {
+	for _, ranks := range l {
+		held := make([]bool, experts)
+		for r, on := range ranks {
+			for _, e := range on {
+				held[e] = held[e] || r != rank
+			}
+		}
+		ranks[rank] = nil
+		for e, is := range held {
+			if !is {
+				ranks[rank] = append(ranks[rank], e)
+			}
+		}
+	}
+}
+
 // RankReport is what the engine of one rank says about itself. The fields are
 // exported because the platform's adapter sets them.
 type RankReport struct {
--- a/internal/transport/rankagent/agent.go
+++ b/internal/transport/rankagent/agent.go
@@ -15,6 +15,7 @@
 	"bluebellcrank/internal/coordination/mapswitch"
 	"bluebellcrank/internal/protocol/peer"
 	"bluebellcrank/internal/state/event"
+	"bluebellcrank/internal/state/expert"
 	"bluebellcrank/internal/state/instance"
 	"bluebellcrank/internal/transport/process"
 	"bluebellcrank/platform"
@@ -26,7 +27,7 @@
 	orderTimeout = 50 * time.Millisecond
 	// peerTimeout bounds a call to another agent: an order, a report, and the
 	// way.
-	peerTimeout = 400 * time.Millisecond
+	peerTimeout = 250 * time.Millisecond
 	// lockLife is how long a silent leader keeps other leaders out. It is
 	// longer than a round of calls, and short enough for another agent to
 	// release a held group before callers give up on a silent stream, 2 s.
@@ -49,6 +50,7 @@
 	// serial keeps the orders of two leaders apart.
 	serial sync.Mutex
 	lock   lock
+	own    ownRank
 
 	countMu sync.Mutex
 	// counted are the engine's counts as of the last sample of them.
@@ -121,6 +123,7 @@
 		stop:     stop,
 	}
 	a.lock.at = time.Now()
+	a.own.beginner = mapswitch.NoRank
 	mux := peer.NewMux()
 	peer.Handle(mux, methodSample, a.sample)
 	peer.Handle(mux, methodOrder, a.order)
@@ -133,13 +136,22 @@
 	return a
 }
 
+// look reads the state of the rank beside this agent.
+func (a *Agent) look(ctx context.Context, now time.Time) (expert.RankReport, error) {
+	r, err := a.engine.Report(ctx)
+	if err == nil {
+		a.own.note(r, now)
+	}
+	return r, err
+}
+
 // sample answers a leader.
 func (a *Agent) sample(ctx context.Context, r sampleRequest) (sampleReply, error) {
 	granted, holder := a.lock.take(r.Leader, r.Rank, time.Now())
 	if !granted {
 		return sampleReply{Holder: holder}, nil
 	}
-	report, err := a.engine.Report(ctx)
+	report, err := a.look(ctx, time.Now())
 	if err != nil {
 		return sampleReply{}, err
 	}
@@ -190,12 +202,15 @@
 	if !a.lock.renew(r.Leader, time.Now()) {
 		return orderReply{}, nil
 	}
+	if r.Order.Kind == mapswitch.Prepare {
+		a.own.begun(r.Rank)
+	}
 	err := give(ctx, a.engine, r)
 	out := orderReply{Granted: true, Answered: err == nil || errors.Is(err, platform.ErrOrderRefused)}
 	if !out.Answered {
 		event.EngineUnreached.Log(a.log, "order", string(r.Order.Kind), "version", r.Order.Version, "error", err.Error())
 	}
-	report, err := a.engine.Report(ctx)
+	report, err := a.look(ctx, time.Now())
 	if err != nil {
 		event.EngineUnreached.Log(a.log, "error", err.Error())
 		return out, nil
--- a/internal/transport/rankagent/change.go
+++ b/internal/transport/rankagent/change.go
@@ -26,8 +26,14 @@
 		"skew", placement.Skew(l.layout, l.popularity), "skew-after", placement.Skew(next, l.popularity),
 		"step-time", placement.StepTime(l.layout, l.popularity, l.speeds(), l.terms()),
 		"step-time-after", placement.StepTime(next, l.popularity, l.speeds(), l.terms()))
-	s := mapswitch.New(l.epoch, l.highest, l.self.Rank, len(l.samples), limits, now)
+	roles := mapswitch.Roles{
+		Coordinator: l.self.Rank,
+		Holder:      (l.self.Rank + 1) % len(l.samples),
+		Absent:      mapswitch.NoRank,
+	}
+	s := mapswitch.New(l.epoch, l.highest, roles, len(l.samples), l.lastStep, limits, now)
 	l.drive(ctx, s, next)
+	l.lastStep = max(l.lastStep, s.Step())
 	if s.Stage() == mapswitch.Committed {
 		l.layout, l.version = next, s.Version()
 	}
@@ -116,7 +122,7 @@
 // send has an agent give one order; nil says that it did not answer.
 func (l *leader) send(ctx context.Context, o mapswitch.Order, next []byte) *orderReply {
 	a := l.agent
-	q := orderRequest{Leader: a.settings.Name, Epoch: l.epoch, Order: o, issued: process.BootTime()}
+	q := orderRequest{Leader: a.settings.Name, Rank: l.self.Rank, Epoch: l.epoch, Order: o, issued: process.BootTime()}
 	switch o.Kind {
 	case mapswitch.Prepare:
 		q.Layout = next
@@ -130,6 +136,8 @@
 		out, err = a.order(ctx, q)
 	case gone:
 		out, err = l.orderDirectly(ctx, q)
+	case o.Kind == mapswitch.Hold || o.Kind == mapswitch.Release:
+		out, err = l.orderHolder(ctx, q)
 	default:
 		out, err = peer.Call[orderRequest, orderReply](a.peers, l.addresses[o.Rank], methodOrder, q)
 	}
--- a/internal/transport/rankagent/leader.go
+++ b/internal/transport/rankagent/leader.go
@@ -15,6 +15,7 @@
 	"bluebellcrank/internal/state/event"
 	"bluebellcrank/internal/state/expert"
 	"bluebellcrank/internal/state/routing"
+	"bluebellcrank/platform"
 )
 
 const (
@@ -66,8 +67,8 @@
 	engines   []string
 	listed    time.Time
 	samples   []*sampleReply
-	// openSince is when the engine's group was seen open first.
-	openSince time.Time
+	// direct are clients of other ranks' engines by address.
+	direct map[string]*platform.Engine
 	// missing are the ranks whose agents do not answer, and since when.
 	missing map[int]time.Time
 	asked   time.Time
@@ -77,10 +78,14 @@
 	version    int64
 	highest    int64
 	popularity [][]float64
-	backOff    time.Time
+	// lastStep is the step of this leader's last change.
+	lastStep int64
+	backOff  time.Time
 }
 
-func newLeader(a *Agent) *leader { return &leader{agent: a, missing: map[int]time.Time{}} }
+func newLeader(a *Agent) *leader {
+	return &leader{agent: a, missing: map[int]time.Time{}, direct: map[string]*platform.Engine{}}
+}
 
 func (l *leader) run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -122,22 +127,21 @@
 	if a.lock.heldBy(a.settings.Name) && l.addresses != nil {
 		return true
 	}
-	wait := time.Duration(l.self.Rank) * lockStagger
-	if !a.lock.free(lockLife+wait, now) {
+	known, _ := a.own.last(now)
+	if !a.lock.free(lockLife+time.Duration(known.Rank)*lockStagger, now) {
 		return false
 	}
-	r, err := a.engine.Report(ctx)
+	r, err := a.look(ctx, now)
 	if err != nil {
 		return false
 	}
-	if !r.Open || r.Group != l.self.Group {
-		l.openSince = now
-	}
 	l.self = r
+	wait := time.Duration(0)
 	if r.Rank > 0 {
 		wait = lockLife + time.Duration(r.Rank)*lockStagger
 	}
-	return r.Open && now.Sub(l.openSince) >= wait
+	_, open := a.own.last(now)
+	return r.Open && open >= wait
 }
 
 // prepare finds the group's agents and the engines' profile.
@@ -173,6 +177,7 @@
 		return l.complete()
 	}
 	l.engines = ranks
+	l.keepDirect()
 	l.addresses = lo.Map(ranks, func(engine string, _ int) string {
 		host, _, err := net.SplitHostPort(engine)
 		if err != nil {
@@ -236,6 +241,9 @@
 	if first.Epoch != l.epoch || first.Version != l.version {
 		l.layout = nil
 	}
+	if first.Epoch != l.epoch {
+		l.lastStep = 0
+	}
 	l.epoch = first.Epoch
 	l.takeCounts()
 	return l.takeLayout(first.Version)
--- a/internal/transport/rankagent/message.go
+++ b/internal/transport/rankagent/message.go
@@ -39,6 +39,7 @@
 // orderRequest has an agent give its engine an order.
 type orderRequest struct {
 	Leader string          `json:"leader"`
+	Rank   int             `json:"rank"`
 	Epoch  int64           `json:"epoch"`
 	Order  mapswitch.Order `json:"order"`
 	Layout []byte          `json:"layout,omitempty"`
--- a/internal/transport/rankagent/takeover.go
+++ b/internal/transport/rankagent/takeover.go
@@ -8,6 +8,7 @@
 	"github.com/samber/lo"
 
 	"bluebellcrank/internal/coordination/mapswitch"
+	"bluebellcrank/internal/protocol/peer"
 	"bluebellcrank/internal/state/event"
 	"bluebellcrank/internal/state/expert"
 	"bluebellcrank/platform"
@@ -17,10 +18,8 @@
 	// reportLag is how old an engine's report may be from another machine:
 	// the lag of 200 ms that the platform states, and a margin.
 	reportLag = 350 * time.Millisecond
-	// missingFor is how long an agent is silent before its engine is asked
-	// directly, which the platform charges for.
-	missingFor = 300 * time.Millisecond
-	// askEvery is the time between two such questions.
+	// askEvery is the time between two questions to the engine of an agent that
+	// does not answer, which the platform charges for.
 	askEvery = 500 * time.Millisecond
 )
 
@@ -38,8 +37,8 @@
 // release ends what another leader left behind: a group that is held. The
 // engine of an agent that does not answer is asked directly.
 func (l *leader) release(ctx context.Context, now time.Time) bool {
-	reports, all := l.reports(ctx, now)
-	if !all {
+	reports, absent, known := l.reports(ctx, now)
+	if !known {
 		return false
 	}
 	for n, r := range reports {
@@ -48,63 +47,80 @@
 		}
 		l.highest = max(l.highest+2, version(now))
 		l.epoch = r.Epoch
-		if !l.readLayout(ctx) {
+		if !l.readLayout(ctx, absent) {
 			return false
 		}
-		event.SwitchRecovered.Log(l.agent.log, "group", l.self.Group, "held-rank", n, "step", r.Held, "missing", len(l.missing))
-		l.drive(ctx, mapswitch.Recover(r.Epoch, l.highest, r.Held, n, len(reports), now), l.layout)
+		event.SwitchRecovered.Log(l.agent.log, "group", l.self.Group, "held-rank", n, "step", r.Held, "missing", len(l.missing), "absent-rank", absent)
+		delete(l.missing, absent)
+		roles := mapswitch.Roles{Coordinator: l.self.Rank, Holder: n, Absent: absent}
+		l.drive(ctx, mapswitch.Recover(r.Epoch, l.highest, r.Held, roles, len(reports), now), l.layout)
 		l.highest += 2
+		if absent != mapswitch.NoRank {
+			l.layout = nil // the absent rank's part of it was inferred
+		}
 		return true
 	}
 	return false
 }
 
-// reports returns every rank's state; false where some are not known, or the
-// agent of some rank takes orders from another leader.
-func (l *leader) reports(ctx context.Context, now time.Time) ([]expert.RankReport, bool) {
+// reports returns every rank's state, and the rank of which it is not known
+// because it is that of the agent that began the last change, whose machine
+// answers nobody. It returns false where another rank's state is not known, or
+// the agent of some rank takes orders from another leader.
+func (l *leader) reports(ctx context.Context, now time.Time) ([]expert.RankReport, int, bool) {
 	out := make([]expert.RankReport, len(l.samples))
-	whole := true
 	for n, s := range l.samples {
 		switch {
 		case s == nil:
 			if l.missing[n].IsZero() {
 				l.missing[n] = now
 			}
-			whole = whole && now.Sub(l.missing[n]) >= missingFor
 		case !s.Granted:
-			return nil, false
+			return nil, 0, false
 		default:
 			delete(l.missing, n)
 			out[n] = *s.Report
 		}
 	}
-	if !whole || len(l.missing) > 0 && now.Sub(l.asked) < askEvery {
-		return nil, false
+	absent := mapswitch.NoRank
+	if len(l.missing) > 0 && now.Sub(l.asked) < askEvery {
+		return nil, absent, false
 	}
 	for n := range l.missing {
 		l.asked = now
-		r, err := l.direct(n).Report(ctx)
+		r, err := l.engine(n).Report(ctx)
 		if err != nil {
-			event.EngineUnreached.Log(l.agent.log, "rank", n, "error", err.Error())
-			return nil, false
+			event.EngineUnreached.Log(l.agent.log, "rank", n, "silent-ms", now.Sub(l.missing[n]).Milliseconds(), "error", err.Error())
+			if n != l.agent.own.begunBy() {
+				return nil, absent, false
+			}
+			absent = n
+			continue
 		}
 		out[n] = r
 	}
-	return out, lo.EveryBy(out, func(r expert.RankReport) bool { return r.Open && r.Epoch == out[0].Epoch })
+	one := lo.EveryBy(lo.Range(len(out)), func(n int) bool {
+		return n == absent || out[n].Open && out[n].Epoch == out[l.self.Rank].Epoch
+	})
+	return out, absent, one
 }
 
-// readLayout puts the map in force together where one agent is missing.
-func (l *leader) readLayout(ctx context.Context) bool {
+// readLayout puts the map in force together where one agent is missing. An
+// absent rank is taken to hold what no other rank does.
+func (l *leader) readLayout(ctx context.Context, absent int) bool {
 	if l.layout != nil {
 		return true
 	}
 	layout := make(expert.Layout, l.profile.Layers)
 	for n, s := range l.samples {
 		var on [][]int
-		if s != nil {
+		switch {
+		case n == absent:
+			on = make([][]int, len(layout))
+		case s != nil:
 			on = s.Experts
-		} else {
-			read, err := l.direct(n).Experts(ctx)
+		default:
+			read, err := l.engine(n).Experts(ctx)
 			if err != nil {
 				event.EngineUnreached.Log(l.agent.log, "rank", n, "error", err.Error())
 				return false
@@ -118,19 +134,36 @@
 			layout[set] = append(layout[set], on[set])
 		}
 	}
+	if absent != mapswitch.NoRank {
+		layout.Adopt(absent, l.profile.Experts)
+	}
 	l.layout = layout
 	return true
 }
 
-// direct returns a client of another rank's engine.
-func (l *leader) direct(rank int) *platform.Engine {
-	return platform.NewEngine(l.engines[rank], peerTimeout)
+// engine returns a client of another rank's engine.
+func (l *leader) engine(rank int) *platform.Engine {
+	address := l.engines[rank]
+	if l.direct[address] == nil {
+		l.direct[address] = platform.NewEngine(address, peerTimeout)
+	}
+	return l.direct[address]
+}
+
+// keepDirect ends the clients of engines that have left the group.
+func (l *leader) keepDirect() {
+	for address, e := range l.direct {
+		if !lo.Contains(l.engines, address) {
+			e.Close()
+			delete(l.direct, address)
+		}
+	}
 }
 
 // orderDirectly gives an order to the engine of an agent that does not answer,
 // and waits until the engine's report shows what came of it.
 func (l *leader) orderDirectly(ctx context.Context, r orderRequest) (orderReply, error) {
-	e := l.direct(r.Order.Rank)
+	e := l.engine(r.Order.Rank)
 	err := give(ctx, e, r)
 	out := orderReply{Granted: true, Answered: err == nil || errors.Is(err, platform.ErrOrderRefused)}
 	time.Sleep(reportLag)
@@ -141,3 +174,16 @@
 	out.Report = &report
 	return out, nil
 }
+
+// orderHolder gives an order to the engine of the rank that holds the step,
+// without its agent: the machine that stands still after it gave an order is
+// never the one whose engine holds the group. The agent reads what came of it.
+func (l *leader) orderHolder(ctx context.Context, r orderRequest) (orderReply, error) {
+	err := give(ctx, l.engine(r.Order.Rank), r)
+	answered := err == nil || errors.Is(err, platform.ErrOrderRefused)
+	look := r
+	look.Order.Kind = mapswitch.Look
+	out, err := peer.Call[orderRequest, orderReply](l.agent.peers, l.addresses[r.Order.Rank], methodOrder, look)
+	out.Answered = answered
+	return out, err
+}
