A rank group that failed is tried by one stream at a time; restarted entries queue

It took a service that it knew nothing about for one without room since ever; sends to machines that were still down spent its share of the retry budget; and once the 0.7 s were over for which a target's word kept work off a group, all that waited went there at once, to be refused by a group that was still forming.

An unknown rhythm begins at the first request. A send that reached no target spends nothing. A suspect group gets a probe every 0.4 s until an event comes; a failure is not held against a group whose events still come.

--- a/internal/coordination/balance/fleet.go
+++ b/internal/coordination/balance/fleet.go
@@ -30,6 +30,9 @@
 	Pause time.Duration
 	// Priority ranks waiting requests, 0 first.
 	Priority int
+	// Late requests have missed their goal: they wait behind those that can
+	// still be answered in time.
+	Late bool
 	// PerSecond bounds the sends of this entry to one target; 0 is no limit.
 	PerSecond int
 	// Resumed streams have begun and do not wait for a good pace.
@@ -38,6 +41,19 @@
 	Tried []string
 }
 
+// lateShare is the part of the goal for pauses up to which streams that are
+// late already are let in: the room beyond is kept for those that are not.
+const lateShare = 0.7
+
+// goal is the pause that the streams at a target may reach if the request joins
+// them.
+func (n Need) goal() time.Duration {
+	if n.Late {
+		return time.Duration(lateShare * float64(n.Pause))
+	}
+	return n.Pause
+}
+
 // Lease is a request's place at a target until Done.
 type Lease struct {
 	fleet  *Fleet
@@ -200,7 +216,7 @@
 		return nil, verdict
 	}
 	best.own++
-	f.rhythm(n.Service).granted(now)
+	f.rhythm(n.Service, now).granted(now)
 	best.sends = append(best.sends, now)
 	if n.Stream {
 		best.group.begin(n.Pause, now)
@@ -215,7 +231,7 @@
 	if m.target.Slots > 0 && m.load(now) >= m.target.Slots {
 		return false
 	}
-	return !n.Stream || n.Resumed || m.group.open(n.Pause, f.entries, now)
+	return !n.Stream || n.Resumed || m.group.open(n.goal(), f.entries, now)
 }
 
 // score is lower for better targets: for streams first the pace of the group
@@ -285,7 +301,9 @@
 func (l *Lease) Stalled(now time.Time) bool {
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
-	return l.member.group.stalled(now)
+	g := l.member.group
+	g.suspect = g.suspect || g.stalled(now)
+	return g.stalled(now)
 }
 
 // Report takes a target's own word about its requests.
@@ -334,17 +352,20 @@
 		m.until = later(m.until, now.Add(refusedFor))
 	case Failed:
 		m.failed(now)
+		if m.target.Group != "" {
+			m.group.failed(now)
+		}
 	case Moved:
 		f.remove(m.target.ID)
 	}
 	f.serveQueue(now)
 }
 
-// SuspendGroup keeps new work off the group of a target for a time.
-func (l *Lease) SuspendGroup(until time.Time) {
+// SuspectGroup takes a target's word that another one keeps it from working.
+func (l *Lease) SuspectGroup() {
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
-	l.member.group.bar(until)
+	l.member.group.suspect = true
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/coordination/balance/fleet_test.go
+++ b/internal/coordination/balance/fleet_test.go
@@ -173,3 +173,54 @@
 	// At a pass of 98 ms, 52 streams run, of which 24 events take 2.35 s.
 	c.Check(rate > 15, qt.IsTrue, qt.Commentf("%.1f a second", rate))
 }
+
+// TestSuspectGroupGetsOnlyProbes has a rank group fail in each of the ways in
+// which an entry notices: until an event comes from there, one stream at a time
+// tries it, and not all that wait once a pause is over.
+func TestSuspectGroupGetsOnlyProbes(t *testing.T) {
+	tests := []struct {
+		name string
+		// lively says that an event has just come from the group.
+		lively bool
+		// fail takes the lease of the stream by which the entry notices.
+		fail func(l *Lease, now time.Time)
+	}{
+		{"a rank does not answer", false, func(l *Lease, now time.Time) { l.Done(Failed, 0, now) }},
+		{"a rank does not answer, others do", true, func(l *Lease, now time.Time) { l.Done(Failed, 0, now) }},
+		{"a rank says that another is at fault", false, func(l *Lease, now time.Time) {
+			l.SuspectGroup()
+			l.Done(Refused, 0, now)
+		}},
+		{"its streams left it when they got nothing", false, func(l *Lease, now time.Time) {
+			now = now.Add(700 * time.Millisecond)
+			l.Stalled(now)
+			l.Done(Abandoned, 0, now)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newTestFleet(ranks(8)[:8])
+			l, _ := f.Pick(stream, start)
+			if tt.lively {
+				l.Observe(0, start)
+			}
+			tt.fail(l, start)
+			now := start.Add(1500 * time.Millisecond)
+			probes := []*Lease{}
+			for range 10 {
+				if l, _ := f.Pick(stream, now); l != nil {
+					probes = append(probes, l)
+				}
+			}
+			if tt.lively {
+				c.Check(len(probes) > 1, qt.IsTrue)
+				return
+			}
+			c.Assert(probes, qt.HasLen, 1)
+			probes[0].Observe(0, now.Add(150*time.Millisecond))
+			_, v := f.Pick(stream, now.Add(150*time.Millisecond))
+			c.Check(v, qt.Equals, Granted)
+		})
+	}
+}
--- a/internal/coordination/balance/group.go
+++ b/internal/coordination/balance/group.go
@@ -24,9 +24,13 @@
 	streams int
 	// lively is when an event came last, or the first stream began.
 	lively time.Time
-	// until is how long a target's word keeps work off the group.
-	until time.Time
-	// probed is when a request was sent to the isClosed group last.
+	// eventAt is when an event came last.
+	eventAt time.Time
+	// suspect says that a target failed, that one said that another keeps it
+	// from working, or that streams got nothing for long: one request at a time
+	// tries the group until an event comes.
+	suspect bool
+	// probed is when a request was sent to the group last.
 	probed time.Time
 	// goal is the longest good pause of the streams sent here last.
 	goal time.Duration
@@ -43,11 +47,17 @@
 }
 
 func (g *group) event(now time.Time) {
-	g.lively = now
-	g.until = time.Time{}
+	g.lively, g.eventAt = now, now
+	g.suspect = false
 }
 
-func (g *group) bar(until time.Time) { g.until = later(g.until, until) }
+// failed notes that a target of a rank group failed, without which the group
+// stands still; where events still come, only that request was lost.
+func (g *group) failed(now time.Time) {
+	if now.Sub(g.eventAt) > stallAfter {
+		g.suspect = true
+	}
+}
 
 func (g *group) stalled(now time.Time) bool {
 	return g.streams > 0 && now.Sub(g.lively) > max(stallAfter, stallPauses*g.pace.usual)
@@ -62,7 +72,8 @@
 // isClosed reports whether the group gets no new work but a probe now and then;
 // broken is what the list of targets says.
 func (g *group) isClosed(broken bool, now time.Time) bool {
-	if !broken && !now.Before(g.until) && !g.stalled(now) {
+	g.suspect = g.suspect || g.stalled(now)
+	if !broken && !g.suspect {
 		return false
 	}
 	return now.Sub(g.probed) < probeEvery
--- a/internal/coordination/balance/queue.go
+++ b/internal/coordination/balance/queue.go
@@ -48,34 +48,43 @@
 	return out
 }
 
-// Wait queues a request behind those of the same or a better priority. It
-// returns nil where most already wait, or where the request would wait for
+// before reports whether a request is granted before one that waits already.
+func (n Need) before(o Need) bool {
+	if n.Priority != o.Priority {
+		return n.Priority < o.Priority
+	}
+	return o.Late && !n.Late
+}
+
+// Wait queues a request behind those of the same or a better priority, and
+// late ones behind those that can be answered in time. It returns nil where most already wait, or where the request would wait for
 // longer than its patience: such a one is refused at once.
 func (f *Fleet) Wait(n Need, most int, patience time.Duration, now time.Time) *Ticket {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	waiting := 0
 	for _, t := range f.queue {
-		if t.need.Service == n.Service && t.need.Priority <= n.Priority {
+		if t.need.Service == n.Service && !n.before(t.need) {
 			waiting++
 		}
 	}
-	if waiting >= most || f.rhythm(n.Service).wait(waiting, now) > patience {
+	if waiting >= most || f.rhythm(n.Service, now).wait(waiting, now) > patience {
 		return nil
 	}
 	t := &Ticket{need: n, grant: make(chan *Lease, 1)}
 	at := len(f.queue)
-	for at > 0 && f.queue[at-1].need.Priority > n.Priority {
+	for at > 0 && n.before(f.queue[at-1].need) {
 		at--
 	}
 	f.queue = slices.Insert(f.queue, at, t)
 	return t
 }
 
-func (f *Fleet) rhythm(service string) *rhythm {
+// rhythm returns a service's rhythm; one that was not seen yet begins now.
+func (f *Fleet) rhythm(service string, now time.Time) *rhythm {
 	r := f.rhythms[service]
 	if r == nil {
-		r = &rhythm{}
+		r = &rhythm{last: now}
 		f.rhythms[service] = r
 	}
 	return r
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -31,12 +31,16 @@
 	body     []byte
 	began    time.Time
 	deadline time.Time
+	// returned says that the caller has come back after an earlier attempt.
+	returned bool
 	// goal is when the answer or the first event earns its full worth.
 	goal time.Time
 
 	// sends counts sends that a target may have run or refused.
 	sends int
 	tried []string
+	// arrived says that some target got the request, whatever it said.
+	arrived bool
 	// uncertain says that a target may have run the request.
 	uncertain bool
 	// begun says that a part of the answer has gone to the client.
@@ -56,6 +60,7 @@
 		Stream:    x.route.Kind == routing.Stream,
 		Priority:  x.priority,
 		PerSecond: x.gateway.perTarget(x.table.Service(x.service)),
+		Late:      x.returned,
 		Resumed:   x.lastEvent != "",
 		Tried:     x.tried,
 	}
@@ -66,25 +71,29 @@
 }
 
 const (
-	// queueShare is the part of the time to the goal for which a request
-	// waits for room.
-	queueShare = 0.5
 	// queueMost is how many requests wait for a service at one entry.
 	queueMost = 12
+	// returnedMost is the same for callers that have come back.
+	returnedMost = 24
 )
 
 // place waits a little for a place at a target.
 func (x *exchange) place(ctx context.Context, now time.Time) (*balance.Lease, balance.Verdict) {
 	f := x.gateway.fleet
 	l, v := f.Pick(x.need(), now)
-	if v != balance.Full {
+	goesOn := x.returned || x.begun
+	if l != nil || v == balance.Absent && !goesOn {
 		return l, v
 	}
-	wait := time.Duration(queueShare * float64(x.goal.Sub(now)))
+	wait := balance.Patience(x.goal.Sub(now), x.deadline.Sub(now), goesOn)
 	if wait <= 0 {
 		return nil, v
 	}
-	ticket := f.Wait(x.need(), queueMost, wait, now)
+	most := queueMost
+	if goesOn {
+		most = returnedMost
+	}
+	ticket := f.Wait(x.need(), most, wait, now)
 	if ticket == nil {
 		return nil, v
 	}
@@ -136,6 +145,7 @@
 	if err != nil {
 		return nil, platform.Answer{}, err
 	}
+	x.arrived = true
 	a := platform.ReadAnswer(res.StatusCode, res.Header)
 	if a.Load != nil {
 		l.Report(a.Load.Running, a.Load.Waiting, time.Now())
@@ -193,7 +203,7 @@
 	}
 	event.RequestDone.Log(g.log, "id", x.client.Attempt, "route", route, "service", x.service,
 		"account", x.account, "target", x.target, "status", status, "reason", reason,
-		"sends", x.sends, "uncertain", x.uncertain, "first-ms", first.Milliseconds(),
+		"sends", x.sends, "uncertain", x.uncertain, "deadline-ms", x.client.Deadline.Milliseconds(), "first-ms", first.Milliseconds(),
 		"longest-pause-ms", x.longestPause.Milliseconds(),
 		"total-ms", time.Since(x.began).Milliseconds(), "config", version,
 		"proof-age-ms", g.follower.Age(process.BootTime()).Milliseconds())
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -79,6 +79,8 @@
 
 	mu     sync.Mutex
 	shares map[string]*retry.Share
+	// deadlines are those that the callers of each route state.
+	deadlines map[string]*balance.Deadlines
 
 	stop   context.CancelFunc
 	ending sync.WaitGroup
@@ -107,15 +109,16 @@
 	ctx, stop := context.WithCancel(context.Background())
 	set := metrics.NewSet()
 	g := &Gateway{
-		settings: s,
-		seams:    seams,
-		log:      log,
-		store:    platform.NewStore(s.StoreAddress),
-		fleet:    balance.NewFleet(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		metrics:  newMeters(set, seams.Dropped),
-		clients:  newClientConns(),
-		shares:   map[string]*retry.Share{},
-		stop:     stop,
+		settings:  s,
+		seams:     seams,
+		log:       log,
+		store:     platform.NewStore(s.StoreAddress),
+		fleet:     balance.NewFleet(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		metrics:   newMeters(set, seams.Dropped),
+		clients:   newClientConns(),
+		shares:    map[string]*retry.Share{},
+		deadlines: map[string]*balance.Deadlines{},
+		stop:      stop,
 	}
 	g.bounds.Store(&s.Bounds)
 	g.setEntries(entriesUnknown)
@@ -267,6 +270,20 @@
 	return g.share(service).Spend(now)
 }
 
+// hasReturned reports whether a caller of a route has made an earlier
+// attempt.
+func (g *Gateway) hasReturned(route string, left time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	d := g.deadlines[route]
+	if d == nil {
+		d = &balance.Deadlines{}
+		g.deadlines[route] = d
+	}
+	d.Observe(left)
+	return d.Returned(left)
+}
+
 func (g *Gateway) first(service string, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -78,7 +78,12 @@
 	return refusal.Full
 }
 
-// another reports whether the request may be sent once more.
+// dialsMost is how many targets are tried that cannot be reached: each costs
+// a caller up to the time to connect, a quarter of a second.
+const dialsMost = 3
+
+// another reports whether the request may be sent once more. One that has not
+// reached any target spends nothing of the common budget.
 func (x *exchange) another(ctx context.Context) bool {
 	if ctx.Err() != nil || x.sends >= x.route.MaxTargets {
 		return false
@@ -86,6 +91,9 @@
 	if x.uncertain && !x.route.Repeatable() {
 		return false
 	}
+	if !x.arrived {
+		return len(x.tried) < dialsMost
+	}
 	if !x.gateway.spend(x.service, time.Now()) {
 		event.RetrySpent.Log(x.gateway.log, "id", x.client.Attempt, "service", x.service)
 		return false
@@ -136,7 +144,7 @@
 	sent := !errors.As(err, &s) || s.Sent()
 	if sent {
 		x.sends++
-		x.uncertain = true
+		x.arrived, x.uncertain = true, true
 	}
 	x.failed(l, err)
 	switch {
@@ -175,15 +183,11 @@
 	}
 	x.sends++
 	if said.Faulty != "" {
-		l.SuspendGroup(now.Add(groupPause))
+		l.SuspectGroup()
 	}
 	l.Done(balance.Refused, 0, now)
 }
 
-// groupPause is how long a rank group gets no new work once a target says
-// that another rank keeps it from working.
-const groupPause = 700 * time.Millisecond
-
 // readAnswer reads the body, or the first part of a large one.
 func (x *exchange) readAnswer(res *upstream.Response) (*answer, error) {
 	a := &answer{status: res.StatusCode, header: res.Header}
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -46,6 +46,7 @@
 	}
 	x.deadline = now.Add(wait)
 	x.goal = now.Add(x.route.FirstByteGoal)
+	x.returned = g.hasReturned(x.route.Name, x.client.Deadline) || x.client.LastEvent != ""
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
 	g.first(x.service, now)
