Watches of the store wait longer, found silent by keep-alives; proofs by the deployment's bound

The watches of targets and of data centres waited 5 s only to notice a silent connection.

Connections to the store are probed (2 s to find a silent one), and those watches wait 15 s. Changes of targets are gathered for 0.4 of the time that a leaving target may still get work (0.8 s and 1.2 s). The list of entries is read twice at the start and then from old answers at a tenth of the price.

Found by reading: the waits assumed a bound of 5 s for removed keys.

--- a/internal/state/instance/settings.go
+++ b/internal/state/instance/settings.go
@@ -40,6 +40,8 @@
 type Bounds struct {
 	// Revocation is how long after its removal a key may still be served.
 	Revocation time.Duration
+	// Drain is how long after it began to leave a target may get new work.
+	Drain time.Duration
 	// Grace is the time between the request to stop and the kill.
 	Grace time.Duration
 	// RetryRatio is the part of a service's requests that may be sent again.
@@ -60,6 +62,7 @@
 func (Bounds) Defaults() Bounds {
 	return Bounds{
 		Revocation:  5 * time.Second,
+		Drain:       2 * time.Second,
 		Grace:       8 * time.Second,
 		RetryRatio:  0.2,
 		RetryExtra:  20,
--- a/internal/transport/follower/follower.go
+++ b/internal/transport/follower/follower.go
@@ -17,21 +17,25 @@
 )
 
 const (
-	// configWait bounds the age of the proof that a key still stands; a
-	// watch's answer counts as one call whether or not there was news.
+	// configWait is how long the configuration's watch waits at most: what
+	// it finds out about the store holds for the other watches, too.
 	configWait = 2 * time.Second
-	// leastWait and proofAge shorten the watch that follows on news, whose
-	// answer proves nothing about the time it waited: the next proof has to
-	// come before keys are no longer served, 3.5 s after the last.
+	// waitShare and proofShare are the parts of the time that a proof of keys
+	// holds which a watch may take, and at which the next proof should have
+	// come: the answer of a watch that brings news proves nothing about the
+	// time it waited, so that the one behind it has to be shorter.
+	waitShare  = 0.57
+	proofShare = 0.77
+	// leastWait keeps short watches from following on each other.
 	leastWait = 200 * time.Millisecond
-	proofAge  = 2700 * time.Millisecond
 	// listWait is how long the other watches wait. A connection that has gone
-	// silent shows in the configuration's watch, which has them start anew.
-	listWait = 5 * time.Second
-	// gather is the time between two watches of targets, so that changes
-	// which come together take one call; a deployment allows 2 s and more
-	// until a leaving target gets no new work.
-	gather = 800 * time.Millisecond
+	// silent is found by its probes, and a store that is silent shows in the
+	// configuration's watch, which has the others start anew.
+	listWait = 15 * time.Second
+	// gatherShare is the part of the time that a leaving target may still get
+	// new work for which changes of targets are gathered, so that those which
+	// come together take one call.
+	gatherShare = 0.4
 	// retryPause is the time between calls that fail; it doubles up to
 	// retryMost, since calls that are refused are charged for as well.
 	retryPause = 150 * time.Millisecond
@@ -51,9 +55,10 @@
 
 // Follower follows the store until it is closed.
 type Follower struct {
-	store *platform.Store
-	sink  Sink
-	log   hclog.Logger
+	store  *platform.Store
+	sink   Sink
+	limits func() Limits
+	log    hclog.Logger
 
 	table     atomic.Pointer[routing.Table]
 	proof     atomic.Int64
@@ -69,10 +74,18 @@
 	ending sync.WaitGroup
 }
 
-// New starts to follow a store.
-func New(s *platform.Store, sink Sink, log hclog.Logger) *Follower {
+// Limits are what a deployment allows.
+type Limits struct {
+	// Drain is how long a leaving target may still get new work.
+	Drain time.Duration
+	// Proof is how long keys are served after the store said that they stand.
+	Proof time.Duration
+}
+
+// New starts to follow a store; limits returns those in force.
+func New(s *platform.Store, sink Sink, limits func() Limits, log hclog.Logger) *Follower {
 	ctx, stop := context.WithCancel(context.Background())
-	f := &Follower{store: s, sink: sink, log: log, stop: stop}
+	f := &Follower{store: s, sink: sink, limits: limits, log: log, stop: stop}
 	f.proof.Store(int64(-time.Hour))
 	f.sound.Store(newSoundness(ctx))
 	f.ending.Go(func() { f.repeat(ctx, f.followConfig) })
@@ -172,7 +185,7 @@
 	f.prove(asked)
 	for fails := 0; ; {
 		asked = process.BootTime()
-		wait := nextWait(f.Age(asked))
+		wait := nextWait(f.Age(asked), f.limits().Proof)
 		t, next, err := f.store.WatchConfig(ctx, at, wait)
 		if err != nil {
 			f.unsound(ctx)
@@ -197,9 +210,11 @@
 	return asked + wait
 }
 
-// nextWait is how long the next watch may wait for a proof of an age.
-func nextWait(age time.Duration) time.Duration {
-	return min(configWait, max(leastWait, proofAge-age))
+// nextWait is how long the next watch may wait for a proof of an age, where
+// proofs hold for a time.
+func nextWait(age, holds time.Duration) time.Duration {
+	most := min(configWait, time.Duration(waitShare*float64(holds)))
+	return min(most, max(leastWait, time.Duration(proofShare*float64(holds))-age))
 }
 
 func (f *Follower) prove(at time.Duration) {
@@ -236,7 +251,7 @@
 		f.answered()
 		if len(changes) > 0 {
 			f.sink.Change(changes, time.Now())
-			time.Sleep(gather)
+			time.Sleep(time.Duration(gatherShare * float64(f.limits().Drain)))
 		}
 	}
 }
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -38,7 +38,8 @@
 	slowReader = 5 * time.Second
 	// proofMargin is how much sooner than the bound for removed keys an entry
 	// without proof stops serving keys: a watch may miss a second of changes,
-	// and a request takes some time to a target.
+	// and a request takes some time to a target. It is half of a bound that is
+	// short.
 	proofMargin = 1500 * time.Millisecond
 	// staleAfter is the age of the configuration from which a missing route
 	// or key may be news that has not arrived.
@@ -48,6 +49,9 @@
 	settingsEvery = 2 * time.Second
 	// entriesEvery is the time between two reads of the list of entries.
 	entriesEvery = 20 * time.Second
+	// entriesAgain is the time to the second read: entries that start together
+	// register within a second or two, and an old answer will do from then on.
+	entriesAgain = 3 * time.Second
 	// entriesUnknown is the number of entries until the list was read; more
 	// than there are makes the shares smaller.
 	entriesUnknown = 32
@@ -127,7 +131,7 @@
 		Replace: g.fleet.Replace,
 		Change:  g.fleet.Change,
 		Out:     g.fleet.SetOut,
-	}, log)
+	}, g.limits, log)
 	g.ready = &http.Server{Handler: http.HandlerFunc(g.answerReady), ReadHeaderTimeout: headerTimeout}
 	g.traffic = &http.Server{
 		Handler:           http.HandlerFunc(g.serve),
@@ -177,7 +181,7 @@
 
 // followEntries keeps the number of entries that share the common budgets.
 func (g *Gateway) followEntries(ctx context.Context) {
-	registered := false
+	registered, reads := false, 0
 	for ctx.Err() == nil {
 		pause := housekeeping
 		if !registered {
@@ -188,9 +192,13 @@
 			}
 		}
 		if registered {
-			if list, err := g.store.Entries(ctx); err == nil {
+			if list, err := g.store.Entries(ctx, reads > 1); err == nil {
 				g.setEntries(len(list))
+				reads++
 				pause = entriesEvery
+				if reads == 1 {
+					pause = entriesAgain
+				}
 			}
 		}
 		select {
@@ -219,7 +227,13 @@
 // proven reports whether keys can still be served: the store said recently
 // enough that the configuration is the newest one.
 func (g *Gateway) proven() bool {
-	return g.follower.Age(process.BootTime()) <= g.bounds.Load().Revocation-proofMargin
+	return g.follower.Age(process.BootTime()) <= g.limits().Proof
+}
+
+// limits are what the settings in force allow the follower.
+func (g *Gateway) limits() follower.Limits {
+	b := g.bounds.Load()
+	return follower.Limits{Drain: b.Drain, Proof: b.Revocation - min(proofMargin, b.Revocation/2)}
 }
 
 func (g *Gateway) isReady() bool {
