--- a/cmd/standin/relay.go
+++ b/cmd/standin/relay.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
@@ -21,54 +22,84 @@
 // open and forward nothing more, while new ones work; garble changes a letter
 // of plain answers from now on.
 type relay struct {
-	to     string
+	to string
+	// listen is where it accepts connections, if its owner says so.
+	listen string
 	garble atomic.Bool
-	mu     sync.Mutex
-	conns  map[net.Conn]*path
+	// delay is added to each read, in nanoseconds.
+	delay atomic.Int64
+	mu    sync.Mutex
+	conns map[net.Conn]*path
 }
 
+// path is one connection through a relay.
 type path struct {
-	mu     sync.Mutex
-	silent bool
+	// silentTo and silentFrom say that bytes to the server, or from it, are
+	// swallowed.
+	silentTo, silentFrom atomic.Bool
+}
+
+func newRelay(to string) *relay { return &relay{to: to, conns: map[net.Conn]*path{}} }
+
+// accept forwards the connections of a listener until it is closed.
+func (r *relay) accept(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go r.forward(conn)
+	}
+}
+
+// cut ends all open connections.
+func (r *relay) cut() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for conn := range r.conns {
+		_ = conn.Close()
+	}
+}
+
+// silence has the open connections forward nothing more, in one direction or
+// both.
+func (r *relay) silence(to, from bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.conns {
+		p.silentTo.Store(p.silentTo.Load() || to)
+		p.silentFrom.Store(p.silentFrom.Load() || from)
+	}
+}
+
+func (r *relay) open() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.conns)
 }
 
 // Run implements the subcommand.
 func (c *relayCmd) Run() error {
-	r := &relay{to: c.To, conns: map[net.Conn]*path{}}
+	r := newRelay(c.To)
 	l, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
 	}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go r.forward(conn)
-		}
-	}()
+	go r.accept(l)
 	return fasthttp.ListenAndServe(c.Control, r.control)
 }
 
 func (r *relay) control(ctx *fasthttp.RequestCtx) {
-	if string(ctx.Path()) == "/garble" {
+	switch string(ctx.Path()) {
+	case "/garble":
 		r.garble.Store(true)
 		return
+	case "/cut":
+		r.cut()
+	case "/silence":
+		r.silence(true, true)
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for conn, p := range r.conns {
-		switch string(ctx.Path()) {
-		case "/cut":
-			_ = conn.Close()
-		case "/silence":
-			p.mu.Lock()
-			p.silent = true
-			p.mu.Unlock()
-		}
-	}
-	_, _ = fmt.Fprintln(ctx, len(r.conns))
+	_, _ = fmt.Fprintln(ctx, r.open())
 }
 
 func (r *relay) forward(from net.Conn) {
@@ -82,13 +113,8 @@
 	r.conns[from], r.conns[to] = p, p
 	r.mu.Unlock()
 	var wg sync.WaitGroup
-	for _, pair := range [][2]net.Conn{{from, to}, {to, from}} {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			p.copy(pair[1], pair[0], &r.garble)
-		}()
-	}
+	wg.Go(func() { r.copy(to, from, &p.silentTo) })
+	wg.Go(func() { r.copy(from, to, &p.silentFrom) })
 	wg.Wait()
 	r.mu.Lock()
 	delete(r.conns, from)
@@ -97,20 +123,18 @@
 }
 
 // copy forwards until an end; a silent path swallows bytes and never ends.
-func (p *path) copy(to, from net.Conn, garble *atomic.Bool) {
+func (r *relay) copy(to, from net.Conn, silent *atomic.Bool) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		p.mu.Lock()
-		silent := p.silent
-		p.mu.Unlock()
-		if silent {
+		time.Sleep(time.Duration(r.delay.Load()))
+		if silent.Load() {
 			if err != nil {
 				return
 			}
 			continue
 		}
-		if garble.Load() {
+		if r.garble.Load() {
 			copy(buffer[:n], bytes.ReplaceAll(buffer[:n], []byte("done"), []byte("dome")))
 		}
 		if n > 0 {
--- a/internal/coordination/balance/fleet.go
+++ b/internal/coordination/balance/fleet.go
@@ -58,12 +58,14 @@
 type Lease struct {
 	fleet  *Fleet
 	member *member
+	// target is the member's as of the grant; the member's own may change.
+	target fleet.Target
 	stream bool
 	done   bool
 }
 
 // Target returns the target.
-func (l *Lease) Target() fleet.Target { return l.member.target }
+func (l *Lease) Target() fleet.Target { return l.target }
 
 // Fleet is what an entry knows of the targets; it is safe for concurrent use.
 type Fleet struct {
@@ -221,7 +223,7 @@
 	if n.Stream {
 		best.group.begin(n.Pause, now)
 	}
-	return &Lease{fleet: f, member: best, stream: n.Stream}, Granted
+	return &Lease{fleet: f, member: best, target: best.target, stream: n.Stream}, Granted
 }
 
 func (f *Fleet) room(m *member, n Need, now time.Time) bool {
@@ -356,7 +358,9 @@
 			m.group.failed(now)
 		}
 	case Moved:
-		f.remove(m.target.ID)
+		if m.target.Address == l.target.Address {
+			f.remove(m.target.ID)
+		}
 	}
 	f.serveQueue(now)
 }
--- a/internal/coordination/balance/fleet_test.go
+++ b/internal/coordination/balance/fleet_test.go
@@ -224,3 +224,25 @@
 		})
 	}
 }
+
+// TestLeaseKeepsItsTarget has the list of targets change while a request is on
+// its way: what it was granted stays as it was. Run with -race.
+func TestLeaseKeepsItsTarget(t *testing.T) {
+	c := qt.New(t)
+	targets := ranks(1)[:1]
+	f := newTestFleet(targets)
+	l, v := f.Pick(stream, start)
+	c.Assert(v, qt.Equals, Granted)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		moved := targets[0]
+		moved.Address = "10.0.0.9:1"
+		f.Replace([]fleet.Target{moved}, start)
+	}()
+	for range 100 {
+		c.Check(l.Target(), qt.DeepEquals, targets[0])
+	}
+	<-done
+	c.Check(l.Target(), qt.DeepEquals, targets[0])
+}
