--- a/internal/transport/rankagent/agent.go
+++ b/internal/transport/rankagent/agent.go
@@ -22,8 +22,9 @@
 )
 
 const (
-	// orderTimeout is above the time that an engine on the same machine takes
-	// to answer; an order without an answer is sent again.
+	// orderTimeout is above the time that an engine takes to answer, also to a
+	// machine of the same region; an order without an answer is sent again,
+	// and the group may stand still meanwhile.
 	orderTimeout = 50 * time.Millisecond
 	// peerTimeout bounds a call to another agent: an order, a report, and the
 	// way.
--- a/internal/transport/rankagent/takeover.go
+++ b/internal/transport/rankagent/takeover.go
@@ -179,8 +179,13 @@
 // without its agent: the machine that stands still after it gave an order is
 // never the one whose engine holds the group. The agent reads what came of it.
 func (l *leader) orderHolder(ctx context.Context, r orderRequest) (orderReply, error) {
-	err := give(ctx, l.engine(r.Order.Rank), r)
+	short, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err := give(short, l.engine(r.Order.Rank), r)
 	answered := err == nil || errors.Is(err, platform.ErrOrderRefused)
+	if !answered {
+		event.EngineUnreached.Log(l.agent.log, "rank", r.Order.Rank, "order", string(r.Order.Kind), "step", r.Order.Step, "error", err.Error())
+	}
 	look := r
 	look.Order.Kind = mapswitch.Look
 	out, err := peer.Call[orderRequest, orderReply](l.agent.peers, l.addresses[r.Order.Rank], methodOrder, look)
