Entries that are gone are taken off their list by their neighbour

Cause, found by reading: an entry registers in the store and takes itself off when it stops gracefully. An error of that read was not logged, and an entry that had been taken off would not have come back.

Ruled out: renewing leases (a write an entry every few seconds); everyone checking everyone (240,000 connections each 20 s at 490 entries).

Each entry connects to the next one by name every 20 s and removes it, under its revision, after three misses. An entry that misses itself on the list registers again. followEntries moved to a file of its own.

Tests: TestEntriesThatAreGoneLeaveTheList (red: nothing removed them), TestEntryRegistersAgain (red at first within this change: 20 s too late), TestChooseNeighbour, TestNeighbourIsGone.

--- /dev/null
+++ b/internal/coordination/membership/neighbour_test.go
@@ -0,0 +1,57 @@
+package membership
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestChooseNeighbour(t *testing.T) {
+	tests := []struct {
+		name  string
+		self  string
+		names []string
+		want  string
+	}{
+		{"nobody", "b", nil, ""},
+		{"only itself", "b", []string{"b"}, ""},
+		{"the next by name", "b", []string{"d", "c", "b", "a"}, "c"},
+		{"the first behind the last", "d", []string{"d", "c", "b", "a"}, "a"},
+		{"itself is not listed", "b", []string{"a", "c"}, "c"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			qt.New(t).Check(new(Neighbour).Choose(tt.self, tt.names), qt.Equals, tt.want)
+		})
+	}
+}
+
+func TestNeighbourIsGone(t *testing.T) {
+	tests := []struct {
+		name string
+		// answers are those of one check after another; another name is chosen
+		// before the check at changed, if that is not 0.
+		answers []bool
+		changed int
+		want    bool
+	}{
+		{"three misses", []bool{false, false, false}, 0, true},
+		{"two misses", []bool{false, false}, 0, false},
+		{"an answer between misses", []bool{false, false, true, false}, 0, false},
+		{"another neighbour", []bool{false, false, false}, 2, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var n Neighbour
+			n.Choose("a", []string{"b"})
+			gone := false
+			for k, answered := range tt.answers {
+				if k > 0 && k == tt.changed {
+					n.Choose("a", []string{"c"})
+				}
+				gone = n.Checked(answered)
+			}
+			qt.New(t).Check(gone, qt.Equals, tt.want)
+		})
+	}
+}
--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -61,6 +61,8 @@
 	DataCentreOut    = declare(1207, hclog.Info, "data centre out of service or back")
 	StoreWrite       = declare(1208, hclog.Warn, "write to the store failed")
 	ReadyChanged     = declare(1209, hclog.Info, "readiness changed")
+	EntriesUnread    = declare(1210, hclog.Warn, "list of entries could not be read: the last number stays in force")
+	EntryGone        = declare(1211, hclog.Warn, "entry does not answer any more: taken off the list of entries")
 	RequestDone      = declare(2101, hclog.Info, "request ended")
 	TargetFailed     = declare(2102, hclog.Info, "send to a target failed")
 	TargetSlow       = declare(3007, hclog.Info, "engine says that it is slow")
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -47,14 +47,6 @@
 	// settingsEvery is the time between two looks at the settings file, which
 	// may change without a signal.
 	settingsEvery = 2 * time.Second
-	// entriesEvery is the time between two reads of the list of entries.
-	entriesEvery = 20 * time.Second
-	// entriesAgain is the time to the second read: entries that start together
-	// register within a second or two, and an old answer will do from then on.
-	entriesAgain = 3 * time.Second
-	// entriesUnknown is the number of entries until the list was read; more
-	// than there are makes the shares smaller.
-	entriesUnknown = 32
 )
 
 // Gateway is a running entry.
@@ -179,40 +171,6 @@
 	event.SettingsChanged.Log(g.log, "revocation-ms", s.Bounds.Revocation.Milliseconds(), "grace-ms", s.Bounds.Grace.Milliseconds())
 }
 
-// followEntries keeps the number of entries that share the common budgets.
-func (g *Gateway) followEntries(ctx context.Context) {
-	registered, reads := false, 0
-	for ctx.Err() == nil {
-		pause := housekeeping
-		if !registered {
-			err := g.store.Register(ctx, g.settings.Name, g.settings.Address, g.settings.DataCentre)
-			registered = err == nil || err == platform.ErrConflict
-			if !registered {
-				event.StoreWrite.Log(g.log, "error", err.Error())
-			}
-		}
-		if registered {
-			if list, err := g.store.Entries(ctx, reads > 1); err == nil {
-				g.setEntries(len(list))
-				reads++
-				pause = entriesEvery
-				if reads == 1 {
-					pause = entriesAgain
-				}
-			}
-		}
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
-		}
-	}
-}
-
-func (g *Gateway) setEntries(n int) {
-	g.entries.Store(int64(max(n, 1)))
-	g.fleet.SetEntries(n)
-}
-
 func (g *Gateway) keepHouse(now time.Time) {
 	g.fleet.Poll(now)
 	g.pool.Sweep(now)
