--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,12 @@
 # make test: everything that has a verdict
 # make bench: measurements, written to docs/BENCHMARKS.md
 # make prove: the promises on real processes
+# make soak: faults on the processes of the users' platform
 
 BIN := bin
 GO ?= go
 
-.PHONY: all build demo test prove bench lint clean
+.PHONY: all build demo test prove soak bench lint clean
 
 all: build
 
@@ -33,6 +34,11 @@
 	@SEEDS=$(SEEDS) SEED=$(SEED) $(GO) test -count=1 -timeout 60m -v -run 'TestProve|TestTwin|TestRunsAtMostOnce|TestOneMap|TestExplored|TestTwinsFail' ./cmd/standin ./internal/coordination/claim ./internal/coordination/switchover > $(BIN)/prove.log 2>&1; \
 	status=$$?; grep -E '^ *--- |seed [0-9]+:|the checker noticed|worlds|states|^ok|^FAIL' $(BIN)/prove.log; exit $$status
 
+# Faults from outside on the processes of the users' platform: SEEDS=n schedules,
+# SEED=n just that one.
+soak:
+	SEEDS=$(SEEDS) SEED=$(SEED) $(GO) test -count=1 -timeout 60m -v -run 'TestSoak' ./cmd/standin
+
 # Measurements. Those from the clock have no verdict in CI.
 bench: build
 	@$(GO) test -count=1 -tags bench -timeout 30m -v -run 'TestMeasure' ./cmd/standin ./internal/... > $(BIN)/bench.log 2>&1; \
