Names and comments read as a newcomer would; a layout has more time to arrive

- A question that also marks a group is named so (noteStall).
- The order with a layout may take 500 ms: 64 ranks behind a link of 8 Mbit/s need 0.2 s for it (docs/CAPACITY.md), close to the 250 ms of other calls.

--- a/internal/coordination/balance/fleet.go
+++ b/internal/coordination/balance/fleet.go
@@ -299,13 +299,12 @@
 	return l.member.slow(now) && l.member.group.isOverGoal(now)
 }
 
-// Stalled reports whether no stream of the target's group gets events.
+// Stalled reports whether no stream of the target's group gets events; such a
+// group gets only probes until one does.
 func (l *Lease) Stalled(now time.Time) bool {
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
-	g := l.member.group
-	g.suspect = g.suspect || g.stalled(now)
-	return g.stalled(now)
+	return l.member.group.noteStall(now)
 }
 
 // Report takes a target's own word about its requests.
--- a/internal/coordination/balance/group.go
+++ b/internal/coordination/balance/group.go
@@ -63,6 +63,13 @@
 	return g.streams > 0 && now.Sub(g.lively) > max(stallAfter, stallPauses*g.pace.usual)
 }
 
+// noteStall makes a group that is stalled a suspect, and reports whether it is.
+func (g *group) noteStall(now time.Time) bool {
+	is := g.stalled(now)
+	g.suspect = g.suspect || is
+	return is
+}
+
 // isOverGoal reports whether the pauses are too long for the streams' goal, and
 // not just for a moment.
 func (g *group) isOverGoal(now time.Time) bool {
@@ -72,7 +79,7 @@
 // isClosed reports whether the group gets no new work but a probe now and then;
 // broken is what the list of targets says.
 func (g *group) isClosed(broken bool, now time.Time) bool {
-	g.suspect = g.suspect || g.stalled(now)
+	g.noteStall(now)
 	if !broken && !g.suspect {
 		return false
 	}
--- a/internal/coordination/balance/queue.go
+++ b/internal/coordination/balance/queue.go
@@ -57,8 +57,9 @@
 }
 
 // Wait queues a request behind those of the same or a better priority, and
-// late ones behind those that can be answered in time. It returns nil where most already wait, or where the request would wait for
-// longer than its patience: such a one is refused at once.
+// late ones behind those that can be answered in time. It returns nil where
+// most already wait, or where the request would wait for longer than its
+// patience: such a one is refused at once.
 func (f *Fleet) Wait(n Need, most int, patience time.Duration, now time.Time) *Ticket {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/protocol/peer/pool.go
+++ b/internal/protocol/peer/pool.go
@@ -44,12 +44,17 @@
 // Call sends a call over the pooled connection; a connection that gave no
 // answer in time is closed and never used again.
 func Call[P, R any](p *Pool, address, method string, params P) (R, error) {
+	return CallWithin[P, R](p, address, method, params, p.timeout)
+}
+
+// CallWithin is Call with a timeout of its own, for large parameters.
+func CallWithin[P, R any](p *Pool, address, method string, params P, timeout time.Duration) (R, error) {
 	var result R
 	conn, err := p.conn(address)
 	if err != nil {
 		return result, err
 	}
-	err = p.call(conn, method, params, &result, p.timeout)
+	err = p.call(conn, method, params, &result, timeout)
 	if errors.Is(err, ErrUnreachable) {
 		p.drop(address, conn)
 	}
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -81,16 +81,16 @@
 func (x *exchange) place(ctx context.Context, now time.Time) (*balance.Lease, balance.Verdict) {
 	f := x.gateway.fleet
 	l, v := f.Pick(x.need(), now)
-	goesOn := x.returned || x.begun
-	if l != nil || v == balance.Absent && !goesOn {
+	missedGoal := x.returned || x.begun
+	if l != nil || v == balance.Absent && !missedGoal {
 		return l, v
 	}
-	wait := balance.Patience(x.goal.Sub(now), x.deadline.Sub(now), goesOn)
+	wait := balance.Patience(x.goal.Sub(now), x.deadline.Sub(now), missedGoal)
 	if wait <= 0 {
 		return nil, v
 	}
 	most := queueMost
-	if goesOn {
+	if missedGoal {
 		most = returnedMost
 	}
 	ticket := f.Wait(x.need(), most, wait, now)
--- a/internal/transport/rankagent/agent.go
+++ b/internal/transport/rankagent/agent.go
@@ -29,6 +29,9 @@
 	// peerTimeout bounds a call to another agent: an order, a report, and the
 	// way.
 	peerTimeout = 250 * time.Millisecond
+	// prepareTimeout is the same for the order that carries a layout: 64 ranks
+	// share a link of 8 Mbit/s for 0.2 s. It is below lockLife.
+	prepareTimeout = 500 * time.Millisecond
 	// lockLife is how long a silent leader keeps other leaders out. It is
 	// longer than a round of calls, and short enough for another agent to
 	// release a held group before callers give up on a silent stream, 2 s.
--- a/internal/transport/rankagent/change.go
+++ b/internal/transport/rankagent/change.go
@@ -136,6 +136,8 @@
 		out, err = a.order(ctx, q)
 	case gone:
 		out, err = l.orderDirectly(ctx, q)
+	case o.Kind == mapswitch.Prepare:
+		out, err = peer.CallWithin[orderRequest, orderReply](a.peers, l.addresses[o.Rank], methodOrder, q, prepareTimeout)
 	case o.Kind == mapswitch.Hold || o.Kind == mapswitch.Release:
 		out, err = l.orderHolder(ctx, q)
 	default:
