Entries without proof end the connection with their refusals

Ruled out: closing on every answer of an entry that is not ready, since routes without keys are served there as well as anywhere. TestUnprovenEntrySendsCallersElsewhere was red before.

--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -174,6 +174,9 @@
 	if status != http.StatusServiceUnavailable {
 		retryAfter = 0
 	}
+	if reason == refusal.NotReady || reason == refusal.PlatformDown {
+		x.sendElsewhere()
+	}
 	platform.StampRefusal(x.writer.Header(), x.client.Attempt, retryAfter)
 	text := string(reason) + "\n"
 	x.writer.Header().Set("Content-Type", "text/plain")
--- a/internal/transport/gateway/plain_test.go
+++ b/internal/transport/gateway/plain_test.go
@@ -185,6 +185,29 @@
 	w.eventually("the target serves again", func() bool { return w.do(w.request(order, "a-2", "strike")).status == 200 })
 }
 
+// TestUnprovenEntrySendsCallersElsewhere has the store fall silent for an entry
+// whose callers keep their connections: the platform sends new connections to
+// other entries, so that a refusal has to end the connection.
+func TestUnprovenEntrySendsCallersElsewhere(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t)
+	w.addTargetAs(&standin.Target{ID: "t-0"}, "t-0", "bells")
+	w.eventually("the target serves", func() bool { return w.do(w.request(order, "a-0", "strike")).status == 200 })
+	w.store.SetDown(http.StatusServiceUnavailable)
+	var refused reply
+	w.eventually("keys are refused", func() bool {
+		refused = w.do(w.request(order, "a-1", "strike"))
+		return refused.status == 503
+	})
+	c.Check(refused.broken, qt.IsFalse)
+	c.Check(refused.closes, qt.IsTrue)
+	w.store.SetDown(0)
+	w.eventually("the target serves again", func() bool {
+		served := w.do(w.request(order, "a-3", "strike"))
+		return served.status == 200 && !served.closes
+	})
+}
+
 // TestReload has the settings file change and break while the entry runs.
 func TestReload(t *testing.T) {
 	c := qt.New(t)
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -30,7 +30,7 @@
 	now := time.Now()
 	x := &exchange{gateway: g, writer: w, request: r, client: platform.ReadClientRequest(r.Header), began: now}
 	if g.draining.Load() {
-		w.Header().Set("Connection", "close")
+		x.sendElsewhere()
 	}
 	if reason := x.resolve(); reason != "" {
 		x.refuse(reason, retryDelay(retrySoonest, retryLatest))
@@ -57,6 +57,12 @@
 	x.plain(ctx)
 }
 
+// sendElsewhere ends the connection with its answer: the platform leads new
+// connections to entries that are ready.
+func (x *exchange) sendElsewhere() {
+	x.writer.Header().Set("Connection", "close")
+}
+
 // resolve finds the route, the account and the service, or says why not.
 func (x *exchange) resolve() refusal.Reason {
 	g := x.gateway
--- a/internal/transport/gateway/world_test.go
+++ b/internal/transport/gateway/world_test.go
@@ -146,6 +146,8 @@
 	body   string
 	// broken says that the body did not come whole.
 	broken bool
+	// closes says that the answer ends its connection.
+	closes bool
 }
 
 func (w *world) do(q *http.Request) reply {
@@ -155,7 +157,7 @@
 	}
 	defer func() { _ = a.Body.Close() }()
 	body, err := io.ReadAll(a.Body)
-	return reply{status: a.StatusCode, header: a.Header, body: string(body), broken: err != nil}
+	return reply{status: a.StatusCode, header: a.Header, body: string(body), broken: err != nil, closes: a.Close}
 }
 
 // contextWithCancel lets a client leave.
