An entry that the store does not answer reads through other entries

Now the adapter's reads take another entry's way, over the first internal port, while the straight one fails: membership/detour.go decides, the adapter tries in order. An entry whose own reads take a detour passes none on, so that a store that is down for all gets no more calls and there are no rings. Writes go straight. Event 1212 tells of it, and calls for the list of entries that fail are spaced by up to 4 s instead of 0.25 s each. Ruled out: coalescing watches at a peer; its proof is as old as the peer's. The soak's entries have an address each now, as machines have. TestEntryCutOffFromTheStore was red with reads that go straight only.

--- a/cmd/bluebellcrank/gateway.go
+++ b/cmd/bluebellcrank/gateway.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"runtime/debug"
+	"strconv"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -98,6 +99,9 @@
 	if l.Traffic, err = net.Listen("tcp", s.TrafficListen); err != nil {
 		return err
 	}
+	if l.Entries, err = net.Listen("tcp", net.JoinHostPort(s.Address, strconv.Itoa(s.FirstPort))); err != nil {
+		return err
+	}
 	if l.Operator, err = operatorListener(s, c.OperatorPort); err != nil {
 		return err
 	}
--- a/cmd/standin/soak_test.go
+++ b/cmd/standin/soak_test.go
@@ -84,10 +84,12 @@
 
 // soakEntry is an entry's process, its addresses, and its way to the store.
 type soakEntry struct {
-	name, traffic, ready, settings string
-	store                          *relay
-	mu                             sync.Mutex
-	cmd                            *exec.Cmd
+	name, ip, traffic, ready, settings string
+	// internal is the port for other entries.
+	internal string
+	store    *relay
+	mu       sync.Mutex
+	cmd      *exec.Cmd
 	// ended says that the process is not to be started again.
 	ended bool
 	done  sync.WaitGroup
@@ -133,8 +135,10 @@
 	for n := range 4 {
 		s.addTarget([]string{"bells", "drafts"}[n%2])
 	}
+	traffic, ready, internal := freePort(), freePort(), freePort()
 	for n := range soakEntries {
-		e := &soakEntry{name: fmt.Sprintf("entry-%d", n), traffic: freeAddress(), ready: freeAddress()}
+		ip := fmt.Sprintf("127.0.0.%d", 2+n)
+		e := &soakEntry{name: fmt.Sprintf("entry-%d", n), ip: ip, traffic: net.JoinHostPort(ip, traffic), ready: net.JoinHostPort(ip, ready), internal: internal}
 		e.store, _ = s.relayTo(strings.TrimPrefix(store.URL, "http://"))
 		e.settings = filepath.Join(s.dir, e.name+".json")
 		s.write(e, revocation)
@@ -162,12 +166,18 @@
 	return r, r.listen
 }
 
+// freePort returns a port for the same use on all instances, as text.
+func freePort() string {
+	_, port, _ := strings.Cut(freeAddress(), ":")
+	return port
+}
+
 // write writes an entry's settings file.
 func (s *soak) write(e *soakEntry, revocation time.Duration) {
 	content, err := json.Marshal(map[string]any{
-		"nodeName": e.name, "ip": "127.0.0.1", "zone": "east",
+		"nodeName": e.name, "ip": e.ip, "zone": "east",
 		"listenAddresses":   map[string]string{"frontend": e.traffic, "ready": e.ready},
-		"internalPortRange": []int{1, 2},
+		"internalPortRange": []json.Number{json.Number(e.internal), json.Number(e.internal)},
 		"bounds":            map[string]any{"revocationMs": revocation.Milliseconds(), "gracePeriodS": 4, "drainMs": 2000},
 		"platform":          map[string]string{"address": e.store.listen},
 	})
--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -63,6 +63,7 @@
 	ReadyChanged     = declare(1209, hclog.Info, "readiness changed")
 	EntriesUnread    = declare(1210, hclog.Warn, "list of entries could not be read: the last number stays in force")
 	EntryGone        = declare(1211, hclog.Warn, "entry does not answer any more: taken off the list of entries")
+	StoreDetour      = declare(1212, hclog.Warn, "reads of the store go through other entries, or straight again")
 	RequestDone      = declare(2101, hclog.Info, "request ended")
 	TargetFailed     = declare(2102, hclog.Info, "send to a target failed")
 	TargetSlow       = declare(3007, hclog.Info, "engine says that it is slow")
--- a/internal/transport/gateway/entries.go
+++ b/internal/transport/gateway/entries.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/samber/lo"
@@ -19,6 +21,9 @@
 	// entriesAgain is the time to the second read: entries that start together
 	// register within a second or two, and an old answer will do from then on.
 	entriesAgain = 3 * time.Second
+	// entriesRetryMost is the longest time between calls that fail; the number of
+	// entries that was read last will do until then.
+	entriesRetryMost = 4 * time.Second
 	// entriesUnknown is the number of entries until the list was read; more
 	// than there are makes the shares smaller.
 	entriesUnknown = 32
@@ -32,8 +37,10 @@
 func (g *Gateway) followEntries(ctx context.Context) {
 	registered, reads := false, 0
 	var neighbour membership.Neighbour
+	retryPause := housekeeping
 	for ctx.Err() == nil {
-		pause := housekeeping
+		pause := retryPause
+		retryPause = min(2*retryPause, entriesRetryMost)
 		if !registered {
 			err := g.store.Register(ctx, g.settings.Name, g.settings.Address, g.settings.DataCentre)
 			registered = err == nil || errors.Is(err, platform.ErrConflict)
@@ -47,6 +54,7 @@
 				event.EntriesUnread.Log(g.log, "error", err.Error())
 			} else {
 				reads++
+				retryPause = housekeeping
 				pause = g.takeEntries(ctx, list, reads, &neighbour)
 				if _, registered = list[g.settings.Name]; !registered {
 					// An old answer would lack the new registration as well.
@@ -64,6 +72,7 @@
 // takeEntries takes a list of entries, and returns the time to the next one.
 func (g *Gateway) takeEntries(ctx context.Context, list map[string]platform.Entry, reads int, n *membership.Neighbour) time.Duration {
 	g.setEntries(len(list))
+	g.detour.SetPeers(g.peers(list))
 	if reads == 1 {
 		return entriesAgain
 	}
@@ -76,6 +85,29 @@
 	return entriesEvery
 }
 
+// peers returns where the other entries of a list pass reads on; the port is
+// the same on all instances.
+func (g *Gateway) peers(list map[string]platform.Entry) []string {
+	var out []string
+	for name, e := range list {
+		if name != g.settings.Name {
+			out = append(out, net.JoinHostPort(e.Address, strconv.Itoa(g.settings.FirstPort)))
+		}
+	}
+	return out
+}
+
+// passOn passes another entry's read on to the store, unless this entry's own
+// reads take a detour.
+func (g *Gateway) passOn(w http.ResponseWriter, r *http.Request) {
+	if !g.detour.IsStraight(time.Now()) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	g.metrics.passed.Inc()
+	g.store.Pass(w, r)
+}
+
 // reaches reports whether another entry accepts connections at its readiness
 // port, which is the same on all instances.
 func (g *Gateway) reaches(address string) bool {
--- a/internal/transport/gateway/entries_test.go
+++ b/internal/transport/gateway/entries_test.go
@@ -1,13 +1,17 @@
 package gateway
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"bluebellcrank/internal/coordination/membership"
 	"bluebellcrank/platform"
+	"bluebellcrank/platform/standin"
 )
 
 // TestEntriesThatAreGoneLeaveTheList has entries on the list that were killed
@@ -48,6 +52,52 @@
 	}
 }
 
+// TestEntryCutOffFromTheStore has the store turn one entry away: it reads
+// through another one, serves keys for as long as it takes, and hears of a key
+// that is removed meanwhile. Once the other entry is cut off as well, neither
+// serves keys.
+func TestEntryCutOffFromTheStore(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t)
+	w.addTargetAs(&standin.Target{ID: "t-0"}, "t-0", "bells")
+	other := w.addEntry("entry-2", "127.0.0.2", w.storeAddress)
+	w.eventually("entries know each other", func() bool { return w.gateway.entries.Load() == 2 && other.entries.Load() == 2 })
+	w.eventually("the target serves", func() bool { return w.do(w.request(order, "a-0", "strike")).status == 200 })
+	w.cutOff.Store(true)
+	cut := time.Now()
+	w.eventually("the entry would refuse keys alone", func() bool {
+		c.Assert(w.do(w.request(order, "a-1", "strike")).status, qt.Equals, 200)
+		return time.Since(cut) > w.gateway.limits().Proof+time.Second
+	})
+	c.Check(other.metrics.passed.Get() > 0, qt.IsTrue)
+	w.configure("another-key", order)
+	removed := time.Now()
+	w.eventually("the key is refused", func() bool { return w.do(w.request(order, "a-2", "strike")).status == 401 })
+	c.Check(time.Since(removed) < time.Second, qt.IsTrue)
+	w.store.SetDown(http.StatusServiceUnavailable)
+	w.eventually("no entry is ready", func() bool { return !w.gateway.isReady() && !other.isReady() })
+	w.store.SetDown(0)
+	w.eventually("both are ready again", func() bool { return w.gateway.isReady() && other.isReady() })
+}
+
+// TestPassesOnlyReadsOn has an instance ask an entry for more than it passes on.
+func TestPassesOnlyReadsOn(t *testing.T) {
+	tests := []struct{ method, path string }{
+		{http.MethodPost, "/v1/objects/config"},
+		{http.MethodDelete, "/v1/objects/servers/t-0"},
+		{http.MethodGet, "/v1/other"},
+	}
+	w := newWorld(t)
+	for _, tt := range tests {
+		t.Run(tt.method+" "+tt.path, func(t *testing.T) {
+			c := qt.New(t)
+			answer := httptest.NewRecorder()
+			w.gateway.passOn(answer, httptest.NewRequest(tt.method, tt.path, nil))
+			c.Check(answer.Code, qt.Equals, http.StatusForbidden)
+		})
+	}
+}
+
 // TestEntryRegistersAgain has the entry's own place on the list removed, as by
 // another entry that could not reach it.
 func TestEntryRegistersAgain(t *testing.T) {
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"bluebellcrank/internal/coordination/balance"
+	"bluebellcrank/internal/coordination/membership"
 	"bluebellcrank/internal/coordination/retry"
 	"bluebellcrank/internal/state/event"
 	"bluebellcrank/internal/state/instance"
@@ -68,6 +69,9 @@
 
 	traffic *http.Server
 	ready   *http.Server
+	// passing passes reads of the store on for entries that it does not answer.
+	passing *http.Server
+	detour  *membership.Detour
 
 	entries  atomic.Int64
 	draining atomic.Bool
@@ -88,6 +92,8 @@
 	Traffic net.Listener
 	// Ready is where the platform asks for readiness.
 	Ready net.Listener
+	// Entries is where other entries connect.
+	Entries net.Listener
 	// Operator serves metrics; nil for none.
 	Operator net.Listener
 }
@@ -104,12 +110,19 @@
 func New(s instance.Settings, log hclog.Logger, l Listeners, seams Seams) *Gateway {
 	ctx, stop := context.WithCancel(context.Background())
 	set := metrics.NewSet()
+	detour := membership.NewDetour(newRand())
+	ended := func(way string, answered bool, now time.Time) {
+		if detour.Ended(way, answered, now) {
+			event.StoreDetour.Log(log, "straight", answered)
+		}
+	}
 	g := &Gateway{
 		settings:  s,
 		seams:     seams,
 		log:       log,
-		store:     platform.NewStore(s.StoreAddress),
-		fleet:     balance.NewFleet(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		detour:    detour,
+		store:     platform.NewDetouredStore(s.StoreAddress, platform.Ways{Choose: detour.Ways, Ended: ended}),
+		fleet:     balance.NewFleet(newRand()),
 		metrics:   newMeters(set, seams.Dropped),
 		clients:   newClientConns(),
 		shares:    map[string]*retry.Share{},
@@ -125,12 +138,14 @@
 		Out:     g.fleet.SetOut,
 	}, g.limits, log)
 	g.ready = &http.Server{Handler: http.HandlerFunc(g.answerReady), ReadHeaderTimeout: headerTimeout}
+	g.passing = &http.Server{Handler: http.HandlerFunc(g.passOn), ReadHeaderTimeout: headerTimeout}
 	g.traffic = &http.Server{
 		Handler:           http.HandlerFunc(g.serve),
 		ReadHeaderTimeout: headerTimeout,
 		ConnState:         g.clients.changed,
 	}
 	g.ending.Go(func() { g.run(g.ready, l.Ready) })
+	g.ending.Go(func() { g.run(g.passing, l.Entries) })
 	g.ending.Go(func() { g.run(g.traffic, process.SlowWriters(l.Traffic, slowReader)) })
 	g.ending.Go(func() { process.Every(housekeeping, ctx.Done(), g.keepHouse) })
 	g.ending.Go(func() { g.followEntries(ctx) })
@@ -143,6 +158,8 @@
 	return g
 }
 
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 func (g *Gateway) run(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
 		event.ListenerFailed.Log(g.log, "error", err.Error())
@@ -231,6 +248,7 @@
 	g.stop()
 	_ = g.traffic.Close()
 	_ = g.ready.Close()
+	_ = g.passing.Close()
 	g.follower.Close()
 	g.ending.Wait()
 }
--- a/internal/transport/gateway/meters.go
+++ b/internal/transport/gateway/meters.go
@@ -12,6 +12,7 @@
 	opened   *metrics.Counter
 	repeats  *metrics.Counter
 	resumes  *metrics.Counter
+	passed   *metrics.Counter
 	waits    *metrics.Histogram
 	firsts   *metrics.Histogram
 	pauses   *metrics.Histogram
@@ -25,6 +26,7 @@
 		opened:   set.NewCounter("bluebellcrank_target_connections_opened_total"),
 		repeats:  set.NewCounter("bluebellcrank_repeated_sends_total"),
 		resumes:  set.NewCounter("bluebellcrank_streams_resumed_total"),
+		passed:   set.NewCounter("bluebellcrank_store_reads_passed_on_total"),
 		waits:    set.NewHistogram("bluebellcrank_queue_seconds"),
 		firsts:   set.NewHistogram("bluebellcrank_first_byte_seconds"),
 		pauses:   set.NewHistogram("bluebellcrank_event_pause_seconds"),
--- a/internal/transport/gateway/world_test.go
+++ b/internal/transport/gateway/world_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -21,13 +22,18 @@
 
 // world is an entry before stand-ins, as the platform would run it.
 type world struct {
-	t       *testing.T
-	c       *qt.C
-	store   *standin.Store
-	gateway *Gateway
-	address string
-	client  *http.Client
-	version int
+	t     *testing.T
+	c     *qt.C
+	store *standin.Store
+	// storeAddress is where all reach the store, and cutOff has it turn the
+	// world's first entry away.
+	storeAddress string
+	cutOff       atomic.Bool
+	entriesPort  int
+	gateway      *Gateway
+	address      string
+	client       *http.Client
+	version      int
 	// settings are what the settings file holds; nil for one that is broken.
 	settings atomic.Pointer[instance.Settings]
 }
@@ -51,19 +57,39 @@
 
 func newWorld(t *testing.T) *world {
 	w := &world{t: t, c: qt.New(t), store: standin.NewStore(), client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
-	store := httptest.NewServer(w.store)
-	t.Cleanup(store.Close)
+	w.storeAddress = w.serve(w.store)
 	w.configure(testKey, order, status, draft, single)
-	l := Listeners{Traffic: w.listen(), Ready: w.listen()}
-	w.address = l.Traffic.Addr().String()
-	bounds := instance.Bounds{}.Defaults()
+	w.gateway = w.addEntry("entry-1", "127.0.0.1", w.serve(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if w.cutOff.Load() {
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.store.ServeHTTP(rw, r)
+	})))
+	w.address = w.gateway.settings.TrafficListen
+	w.eventually("the entry is ready", w.gateway.isReady)
+	return w
+}
+
+// serve serves a handler on an address that it returns.
+func (w *world) serve(h http.Handler) string {
+	s := httptest.NewServer(h)
+	w.t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// addEntry starts an entry on a loopback address; entries connect to each other
+// at the same port.
+func (w *world) addEntry(name, address, store string) *Gateway {
+	l := Listeners{Traffic: w.listen(address, 0), Ready: w.listen(address, 0), Entries: w.listen(address, w.entriesPort)}
+	w.entriesPort = l.Entries.Addr().(*net.TCPAddr).Port
 	s := instance.Settings{
-		Name: "entry-1", Address: "127.0.0.1", DataCentre: "east", Bounds: bounds,
-		TrafficListen: w.address, ReadyListen: l.Ready.Addr().String(),
-		StoreAddress: strings.TrimPrefix(store.URL, "http://"),
+		Name: name, Address: address, DataCentre: "east", Bounds: instance.Bounds{}.Defaults(),
+		TrafficListen: l.Traffic.Addr().String(), ReadyListen: l.Ready.Addr().String(),
+		FirstPort: w.entriesPort, LastPort: w.entriesPort, StoreAddress: store,
 	}
 	w.settings.Store(&s)
-	w.gateway = New(s, hclog.NewNullLogger(), l, Seams{
+	g := New(s, hclog.NewNullLogger(), l, Seams{
 		Settings: func() (instance.Settings, error) {
 			if s := w.settings.Load(); s != nil {
 				return *s, nil
@@ -72,13 +98,12 @@
 		},
 		Dropped: func() uint64 { return 0 },
 	})
-	t.Cleanup(w.gateway.Close)
-	w.eventually("the entry is ready", w.gateway.isReady)
-	return w
+	w.t.Cleanup(g.Close)
+	return g
 }
 
-func (w *world) listen() net.Listener {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func (w *world) listen(address string, port int) net.Listener {
+	l, err := net.Listen("tcp", net.JoinHostPort(address, strconv.Itoa(port)))
 	w.c.Assert(err, qt.IsNil)
 	return l
 }
