Copies of experts are weighed by the requests of their group

The planner counted steps as if the group were always busy. Now a copy's price grows as less than a quarter of the group's slots is taken; agents report how many requests their engine works on. Ruled out: the length of passes as the measure, since an idle group makes none and its passes look long.

--- a/internal/coordination/placement/even.go
+++ b/internal/coordination/placement/even.go
@@ -38,6 +38,26 @@
 	CopyPrice time.Duration
 }
 
+const (
+	// copyShare keeps copies that save little from being loaded: a copy has to
+	// save this part of its own load time in steps of a loaded group.
+	copyShare = 0.3
+	// loadedShare is the part of a group's slots from which it counts as
+	// loaded: a skew of 2 makes its passes half as long as callers allow.
+	loadedShare = 0.25
+)
+
+// PriceOfCopy answers the load of a group that has few requests: a step that is
+// shorter serves only those, so that a copy has to save more of it. Running are
+// the requests of the group, slots those that it may work on.
+func PriceOfCopy(load time.Duration, running, slots int) time.Duration {
+	price := copyShare * float64(load)
+	if loaded := loadedShare * float64(slots); float64(running) < loaded {
+		price *= loaded / float64(max(running, 1))
+	}
+	return time.Duration(price)
+}
+
 // copySlowdown is by how much passes take longer while experts are loaded, by
 // the platform's word.
 const copySlowdown = 1.15
--- a/internal/coordination/placement/even_test.go
+++ b/internal/coordination/placement/even_test.go
@@ -143,6 +143,42 @@
 	c.Check(after < 1.6, qt.IsTrue, qt.Commentf("%.2f", after))
 }
 
+// TestRebalanceWeighsTheRequests plays favourites on groups with more or fewer
+// requests: copies for a group that has next to none serve nobody.
+func TestRebalanceWeighsTheRequests(t *testing.T) {
+	const ranks, slots, load = 8, 96, 148 * time.Millisecond
+	tests := []struct {
+		name           string
+		running, slots int
+		changes        bool
+		// skew is what a changed layout may have at the most.
+		skew float64
+	}{
+		{"all slots taken", slots, slots, true, 1.6},
+		{"the usual load, a quarter", slots / 4, slots, true, 1.6},
+		{"three in a hundred", 3, slots, false, 0},
+		{"none", 0, slots, false, 0},
+		{"slots are not stated", 3, 0, true, 1.6},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			random := rand.New(rand.NewPCG(1, 2))
+			l, p := turns(6, 64, ranks), favourites(6, 64, random)
+			terms := Terms{
+				Places: 11, MaxNew: 4, ExpertShare: 0.85, CopyTime: load, SwitchTime: 250 * time.Millisecond,
+				Horizon: 2500 * time.Millisecond, CopyPrice: PriceOfCopy(load, tt.running, tt.slots),
+			}
+			before := Skew(l, p)
+			next, worth := Rebalance(l, p, nil, terms)
+			c.Assert(worth, qt.Equals, tt.changes, qt.Commentf("skew %.2f", before))
+			if worth {
+				c.Check(Skew(next, p) < tt.skew, qt.IsTrue, qt.Commentf("skew %.2f to %.2f", before, Skew(next, p)))
+			}
+		})
+	}
+}
+
 func mostNew(from, to expert.Layout) int {
 	most := 0
 	for r := range from[0] {
--- a/internal/state/expert/layout.go
+++ b/internal/state/expert/layout.go
@@ -60,4 +60,6 @@
 	Held int64
 	// Pace is 1 for a sound engine and more for a slow one.
 	Pace float64
+	// Running is how many requests the rank works on.
+	Running int
 }
--- a/internal/state/routing/route.go
+++ b/internal/state/routing/route.go
@@ -87,6 +87,8 @@
 
 // EngineProfile describes engines that run in groups of ranks.
 type EngineProfile struct {
+	// Slots is how many requests an engine works on at the most.
+	Slots int
 	// Layers is the number of sets of expert layers.
 	Layers int
 	// Experts is the number of experts of each layer set.
--- a/internal/transport/rankagent/change.go
+++ b/internal/transport/rankagent/change.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"bluebellcrank/internal/coordination/mapswitch"
 	"bluebellcrank/internal/coordination/placement"
 	"bluebellcrank/internal/protocol/peer"
@@ -23,6 +25,7 @@
 		Arm:     armFor,
 	}
 	event.SwitchStarted.Log(a.log, "group", l.self.Group, "epoch", l.epoch, "version", l.highest, "loads", loads, "slowest-speed", slices.Min(l.speeds()),
+		"running", lo.SumBy(l.samples, func(s *sampleReply) int { return s.Report.Running }),
 		"skew", placement.Skew(l.layout, l.popularity), "skew-after", placement.Skew(next, l.popularity),
 		"step-time", placement.StepTime(l.layout, l.popularity, l.speeds(), l.terms()),
 		"step-time-after", placement.StepTime(next, l.popularity, l.speeds(), l.terms()))
--- a/internal/transport/rankagent/leader.go
+++ b/internal/transport/rankagent/leader.go
@@ -51,9 +51,6 @@
 	// costs its group more; slowSpeed is the speed from which it counts so.
 	slowHorizon = 8 * time.Second
 	slowSpeed   = 0.6
-	// copyShare keeps copies that save little from being loaded: a copy has to
-	// save this part of its own load time in steps of the group.
-	copyShare = 0.3
 )
 
 // leader is an agent's part as the leader of its group; all of it runs on one
@@ -325,6 +322,7 @@
 	if slices.Min(l.speeds()) < slowSpeed {
 		ahead = slowHorizon
 	}
+	running := lo.SumBy(l.samples, func(s *sampleReply) int { return s.Report.Running })
 	return placement.Terms{
 		Places:      p.Places,
 		MaxNew:      p.MaxNew,
@@ -332,7 +330,7 @@
 		CopyTime:    p.CopyTime,
 		SwitchTime:  switchTime,
 		Horizon:     ahead,
-		CopyPrice:   time.Duration(copyShare * float64(p.CopyTime)),
+		CopyPrice:   placement.PriceOfCopy(p.CopyTime, running, p.Slots*len(l.samples)),
 	}
 }
 
