Callers of a service without targets are asked back when it usually has some again

Cause: after everything stood still, the first callers were asked back after 1.2 to 2.6 s at any moment of the outage: early ones met it again and lost an attempt, late ones came when room had been free for long. Now the time is counted from the first caller that met no target: 2 s, and 1.4 s over which callers are spread. Ruled out: a longer time for all; the last ones would wait for nothing. TestOutage has 0 too early in a restart of 1.9 s, where the fixed time had 9 in 100.

--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -79,6 +79,8 @@
 
 	mu     sync.Mutex
 	shares map[string]*retry.Share
+	// outages are those of each service.
+	outages map[string]*balance.Outage
 	// deadlines are those that the callers of each route state.
 	deadlines map[string]*balance.Deadlines
 
@@ -126,6 +128,7 @@
 		metrics:   newMeters(set, seams.Dropped),
 		clients:   newClientConns(),
 		shares:    map[string]*retry.Share{},
+		outages:   map[string]*balance.Outage{},
 		deadlines: map[string]*balance.Deadlines{},
 		stop:      stop,
 	}
@@ -274,6 +277,20 @@
 	return d.Returned(left)
 }
 
+// absent notes that a service has no target, and returns the bounds of the time
+// after which its callers are asked back.
+func (g *Gateway) absent(service string, now time.Time) (soonest, latest time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	o := g.outages[service]
+	if o == nil {
+		o = &balance.Outage{}
+		g.outages[service] = o
+	}
+	o.Observe(now)
+	return o.RetryAfter(now)
+}
+
 func (g *Gateway) first(service string, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -63,7 +63,7 @@
 	case ctx.Err() != nil:
 		x.refuse(x.late(), 0)
 	case v == balance.Absent:
-		x.refuse(refusal.NoTarget, retryDelay(restartSoonest, restartLatest))
+		x.refuse(refusal.NoTarget, retryDelay(x.gateway.absent(x.service, time.Now())))
 	default:
 		x.refuse(refusal.Full, retryDelay(retrySoonest, retryLatest))
 	}
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -20,10 +20,6 @@
 	// because of a state that passes within a second or two.
 	retrySoonest = 300 * time.Millisecond
 	retryLatest  = 1500 * time.Millisecond
-	// restartSoonest and restartLatest do so when no target is there: servers
-	// are back some seconds after they were lost.
-	restartSoonest = 1200 * time.Millisecond
-	restartLatest  = 2600 * time.Millisecond
 )
 
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
