--- a/cmd/bluebellcrank/gateway.go
+++ b/cmd/bluebellcrank/gateway.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"bluebellcrank/internal/coordination/balance"
 	"bluebellcrank/internal/state/instance"
 	"bluebellcrank/internal/transport/gateway"
 	"bluebellcrank/internal/transport/process"
@@ -29,6 +30,7 @@
 
 type gatewayCmd struct {
 	platformFlags `embed:""`
+	Choice        balance.Choice `default:"pace" enum:"pace,least-in-flight,two-choices,random" help:"Rule by which targets are chosen; all but the first are for comparisons."`
 }
 
 // platformFlags are what the programs on the users' platform take beside the
@@ -106,7 +108,7 @@
 		return err
 	}
 	log, w := platformLog(s.Name, c.LogLevel)
-	g := gateway.New(s, log, l, gateway.Seams{Settings: platformSettings, Dropped: w.Dropped})
+	g := gateway.New(s, log, l, gateway.Seams{Settings: platformSettings, Dropped: w.Dropped, Choice: c.Choice})
 	process.Run(g, log, g.Reload)
 	return nil
 }
--- a/internal/coordination/balance/fleet.go
+++ b/internal/coordination/balance/fleet.go
@@ -71,7 +71,10 @@
 type Fleet struct {
 	random *rand.Rand
 
-	mu       sync.Mutex
+	mu     sync.Mutex
+	choice Choice
+	// open is the memory for the targets that a request may have.
+	open     []*member
 	members  map[string]*member
 	services map[string][]*member
 	groups   map[string]*group
@@ -197,8 +200,7 @@
 }
 
 func (f *Fleet) pick(n Need, now time.Time) (*Lease, Verdict) {
-	var best *member
-	bestScore := 0.0
+	f.open = f.open[:0]
 	verdict := Absent
 	for _, m := range f.services[n.Service] {
 		if !m.usable(f.out) || slices.Contains(n.Tried, m.target.ID) {
@@ -208,13 +210,11 @@
 			continue
 		}
 		verdict = Full
-		if !f.room(m, n, now) {
-			continue
-		}
-		if s := f.score(m, n, now); best == nil || s < bestScore {
-			best, bestScore = m, s
+		if f.room(m, n, now) {
+			f.open = append(f.open, m)
 		}
 	}
+	best := f.choose(f.open, n, now)
 	if best == nil {
 		return nil, verdict
 	}
--- a/internal/coordination/balance/fleet_test.go
+++ b/internal/coordination/balance/fleet_test.go
@@ -255,3 +255,44 @@
 	<-done
 	c.Check(l.Target(), qt.DeepEquals, targets[0])
 }
+
+// TestChoices has each rule place requests on targets of which one is loaded by
+// others: only a random choice keeps sending there as often as to the rest.
+func TestChoices(t *testing.T) {
+	const requests, targets = 400, 4
+	tests := []struct {
+		choice Choice
+		// most is how many requests the loaded target may get, least how many
+		// it should get all the same.
+		least, most int
+	}{
+		{ByPace, 0, 10},
+		{LeastInFlight, 0, 10},
+		{TwoChoices, 1, 50},
+		{AtRandom, 60, 140},
+	}
+	for _, tt := range tests {
+		t.Run(string(tt.choice), func(t *testing.T) {
+			c := qt.New(t)
+			var list []fleet.Target
+			for n := range targets {
+				list = append(list, fleet.Target{ID: string(rune('a' + n)), Service: "bells", DataCentre: "east", Slots: 8})
+			}
+			f := newTestFleet(list)
+			f.SetChoice(tt.choice)
+			loaded := f.members["a"]
+			loaded.own = 6
+			sent := 0
+			for n := range requests {
+				now := start.Add(time.Duration(n) * 10 * time.Millisecond)
+				l, v := f.Pick(Need{Service: "bells"}, now)
+				c.Assert(v, qt.Equals, Granted)
+				if l.Target().ID == "a" {
+					sent++
+				}
+				l.Done(Answered, 5*time.Millisecond, now)
+			}
+			c.Check(sent >= tt.least && sent <= tt.most, qt.IsTrue, qt.Commentf("%d of %d", sent, requests))
+		})
+	}
+}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -106,6 +106,8 @@
 	Settings func() (instance.Settings, error)
 	// Dropped returns how many lines of the log were dropped.
 	Dropped func() uint64
+	// Choice is the rule by which targets are chosen; empty for ByPace.
+	Choice balance.Choice
 }
 
 // New starts an entry.
@@ -132,6 +134,7 @@
 		deadlines: map[string]*balance.Deadlines{},
 		stop:      stop,
 	}
+	g.fleet.SetChoice(seams.Choice)
 	g.bounds.Store(&s.Bounds)
 	g.setEntries(entriesUnknown)
 	g.pool = upstream.NewPool(g.metrics.opened.Inc)
