explain tells the story of one request from the platform programs' logs

bluebellcrank explain ID FILE... puts the lines of any number of processes in order: the request's own, what its entry believed last, what other processes did in the 3 s before, and what the end means. Lines that are no events, too long, or carry a collector's prefix are skipped or read, and counted.

--- a/cmd/bluebellcrank/explain.go
+++ b/cmd/bluebellcrank/explain.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"io"
+	"os"
 	"time"
 
 	"github.com/samber/lo"
 
+	"bluebellcrank/internal/state/incident"
 	"bluebellcrank/internal/state/refusal"
 	"bluebellcrank/internal/transport/operator"
 )
@@ -13,12 +16,17 @@
 const usageExplain = `
 Explain one refusal, by the id that its caller got in the Refusal-Id header.
 
-Exit codes: 0 found, 1 not among the saved refusals.
+With files, tell the story of one request from the logs of the programs on the
+users' platform, by its attempt id: its own lines, what its entry believed, and
+what other processes did just before. A file named - is standard input.
+
+Exit codes: 0 found, 1 not among the saved refusals, or in no log.
 `
 
 type explainCmd struct {
 	access `embed:""`
-	ID     string        `arg:"" help:"Refusal id."`
+	ID     string        `arg:"" help:"Refusal id, or attempt id with files."`
+	Files  []string      `arg:"" optional:"" help:"Logs of the platform's programs."`
 	Since  time.Duration `default:"720h" help:"How far back to look."`
 }
 
@@ -27,6 +35,9 @@
 
 // Run implements the subcommand.
 func (c *explainCmd) Run() error {
+	if len(c.Files) > 0 {
+		return c.tell(os.Stdout)
+	}
 	list, _, err := operator.Refusals(c.client(), time.Now().Add(-c.Since))
 	if err != nil {
 		return err
@@ -46,3 +57,50 @@
 	}
 	return nil
 }
+
+// tell prints what the logs say of a request.
+func (c *explainCmd) tell(w io.Writer) error {
+	var all []incident.Line
+	for _, name := range c.Files {
+		lines, err := readLog(name, c.ID)
+		if err != nil {
+			return err
+		}
+		all = append(all, lines...)
+	}
+	story, found := incident.NewStory(c.ID, all)
+	if !found {
+		return fmt.Errorf("no line of %d logs tells of the request %s", len(c.Files), c.ID)
+	}
+	for _, l := range story.Lines() {
+		if _, err := fmt.Fprintln(w, l); err != nil {
+			return err
+		}
+	}
+	for _, f := range story.Findings() {
+		if _, err := fmt.Fprintln(w, f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readLog(name, request string) ([]incident.Line, error) {
+	in := os.Stdin
+	if name != "-" {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = f.Close() }()
+		in = f
+	}
+	lines, skipped, err := incident.Read(in, request)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	if skipped > 0 {
+		fmt.Fprintf(os.Stderr, "%s: %d lines are no events\n", name, skipped)
+	}
+	return lines, nil
+}
--- a/internal/state/refusal/explain.go
+++ b/internal/state/refusal/explain.go
@@ -23,7 +23,7 @@
 	NotReady:         "the process had just started or held no configuration",
 	NoTarget:         "no target of the service took requests",
 	TargetDown:       "the target did not accept connections",
-	PlatformDown:     "the platform could not record that the request runs at most once",
+	PlatformDown:     "the platform did not record that the request runs at most once, or did not confirm the caller's key",
 	Cancelled:        "the entry withdrew the request before it ran",
 	Suspected:        "targets died while they ran this request",
 	ConnectionLost:   "the connection was lost after the request may have been sent",
