--- a/internal/transport/rankagent/change.go
+++ b/internal/transport/rankagent/change.go
@@ -93,6 +93,12 @@
 				}
 			}
 		})
+		if lo.SomeBy(answers, func(a *orderReply) bool { return a != nil && !a.Granted }) {
+			// Another agent leads, and ends what this one has begun.
+			event.SwitchFailed.Log(a.log, "version", s.Version(), "step", s.Step(), "another-leads", true)
+			l.backOff = time.Now().Add(lockLife)
+			return
+		}
 		for _, o := range orders {
 			l.report(s, o, answers[o.Rank])
 		}
@@ -153,7 +159,7 @@
 }
 
 func (l *leader) report(s *mapswitch.Switch, o mapswitch.Order, a *orderReply) {
-	if a == nil || !a.Granted || a.Report == nil {
+	if a == nil || a.Report == nil {
 		s.Unanswered(o)
 		if a == nil {
 			time.Sleep(roundPause)
--- /dev/null
+++ b/internal/transport/rankagent/denied_test.go
@@ -0,0 +1,87 @@
+package rankagent
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"bluebellcrank/internal/coordination/mapswitch"
+	"bluebellcrank/internal/protocol/peer"
+	"bluebellcrank/internal/state/expert"
+	"bluebellcrank/platform"
+	"bluebellcrank/platform/standin"
+)
+
+// TestChangeEndsWhenAnotherLeads has another agent take over while a change is
+// under way: the rank of that agent takes no more orders from this one. A leader
+// that insisted never ended, not even when its process was told to stop.
+func TestChangeEndsWhenAnotherLeads(t *testing.T) {
+	const limit = 3 * time.Second
+	tests := []struct {
+		name string
+		// held has the other agent take over once the step is held, else at once.
+		held bool
+	}{
+		{"before anything is prepared", false},
+		{"while the step is held", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			group := standin.NewEngineGroup("g", 2, 1, 4, 0)
+			group.Pass(time.Now())
+			engines := make([]string, 2)
+			for n := range engines {
+				s := httptest.NewServer(group.Handler(n))
+				t.Cleanup(s.Close)
+				engines[n] = strings.TrimPrefix(s.URL, "http://")
+			}
+			other := platform.NewEngine(engines[1], orderTimeout)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			mux, granted := peer.NewMux(), tt.held
+			peer.Handle(mux, methodOrder, func(ctx context.Context, r orderRequest) (orderReply, error) {
+				if !granted {
+					return orderReply{}, nil
+				}
+				err := give(ctx, other, r)
+				report, lookErr := other.Report(ctx)
+				granted = report.Held == 0
+				return orderReply{Granted: true, Answered: err == nil, Report: &report}, lookErr
+			})
+			pool := peer.NewPool(peerTimeout)
+			server := peer.Serve(l, mux, pool.Bytes())
+			t.Cleanup(server.Close)
+			t.Cleanup(pool.Close)
+			set := metrics.NewSet()
+			a := &Agent{
+				peers: pool, log: hclog.NewNullLogger(), engine: platform.NewEngine(engines[0], orderTimeout),
+				changes: set.NewCounter("changes"), failures: set.NewCounter("failures"),
+			}
+			a.settings.Name = "agent-0"
+			a.lock.take("agent-0", 0, time.Now())
+			lead := newLeader(a)
+			lead.epoch, lead.engines, lead.addresses, lead.layout = 1, engines, []string{"", l.Addr().String()}, expert.Layout{{{0, 2}, {1, 3}}}
+			limits := mapswitch.Limits{Prepare: time.Second, Arm: armFor}
+			s := mapswitch.New(1, 1, mapswitch.Roles{Coordinator: 0, Holder: 1, Absent: mapswitch.NoRank}, 2, 0, limits, time.Now())
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				lead.drive(t.Context(), s, expert.Layout{{{0, 1}, {2, 3}}})
+			}()
+			select {
+			case <-ended:
+				c.Check(lead.backOff.After(time.Now().Add(-limit)), qt.IsTrue)
+			case <-time.After(limit):
+				c.Fatalf("the change goes on after %s", limit)
+			}
+		})
+	}
+}
