Streams leave a rank that is silent while its group goes on

The machine of their rank stood still; its group went on, so that the entry did not count it as stalled, and since the streams of that rank ended as the callers' doing, the rank seemed to be idle and got the next ones. A rank that sends nothing for 0.9 s while its group has events is taken as failed now: its streams go on elsewhere, from the common budget of repeats, and it is left alone for a while. Ruled out: the reset of the connection; the log has it at the moment the caller left, and an engine that stands still cannot see it. TestSilentTargetOfALivelyGroup does not build without it.

--- a/internal/coordination/balance/fleet.go
+++ b/internal/coordination/balance/fleet.go
@@ -61,7 +61,9 @@
 	// target is the member's as of the grant; the member's own may change.
 	target fleet.Target
 	stream bool
-	done   bool
+	// granted is when the lease began.
+	granted time.Time
+	done    bool
 }
 
 // Target returns the target.
@@ -224,7 +226,7 @@
 	if n.Stream {
 		best.group.begin(n.Pause, now)
 	}
-	return &Lease{fleet: f, member: best, target: best.target, stream: n.Stream}, Granted
+	return &Lease{fleet: f, member: best, target: best.target, stream: n.Stream, granted: now}, Granted
 }
 
 func (f *Fleet) room(m *member, n Need, now time.Time) bool {
@@ -261,6 +263,7 @@
 	f := l.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	l.member.heard = now
 	l.member.group.event(now)
 	if pause > 0 {
 		l.member.group.pace.observe(pause, now)
@@ -308,6 +311,15 @@
 	return l.member.group.noteStall(now)
 }
 
+// Silent reports whether the target has sent no event for a time to any of this
+// entry's streams, while its rank group goes on.
+func (l *Lease) Silent(now time.Time) bool {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	m := l.member
+	return m.group.ranked && now.Sub(later(l.granted, m.heard)) > silentAfter && now.Sub(m.group.eventAt) < stallAfter
+}
+
 // Report takes a target's own word about its requests.
 func (l *Lease) Report(running, waiting int, now time.Time) {
 	f := l.fleet
--- a/internal/coordination/balance/fleet_test.go
+++ b/internal/coordination/balance/fleet_test.go
@@ -125,6 +125,48 @@
 	c.Check(toSilent <= 3, qt.IsTrue, qt.Commentf("%d streams", toSilent))
 }
 
+// TestSilentTargetOfALivelyGroup has one rank's machine stand still: the group
+// goes on, and the rank must not go on attracting streams because its own seem
+// to be few.
+func TestSilentTargetOfALivelyGroup(t *testing.T) {
+	c := qt.New(t)
+	f := newTestFleet(ranks(4))
+	now := start
+	var frozen *Lease
+	var sound []*Lease
+	for range 8 {
+		l, v := f.Pick(stream, now)
+		c.Assert(v, qt.Equals, Granted)
+		if frozen == nil && l.Target().Group == "a" {
+			frozen = l
+		} else if frozen == nil || l.Target().ID != frozen.Target().ID {
+			sound = append(sound, l)
+		}
+	}
+	c.Assert(frozen, qt.IsNotNil)
+	toFrozen := 0
+	for range 40 {
+		now = now.Add(50 * time.Millisecond)
+		for _, l := range sound {
+			l.Observe(60*time.Millisecond, now)
+			c.Assert(l.Silent(now), qt.IsFalse)
+		}
+		if is := frozen.Silent(now); is {
+			c.Assert(now.Sub(start) > silentAfter, qt.IsTrue)
+			frozen.Done(Failed, 0, now)
+			break
+		}
+	}
+	c.Assert(now.Sub(start) < 2*silentAfter, qt.IsTrue, qt.Commentf("silent only after %s", now.Sub(start)))
+	for range 8 {
+		l, _ := f.Pick(stream, now)
+		if l != nil && l.Target().ID == frozen.Target().ID {
+			toFrozen++
+		}
+	}
+	c.Check(toFrozen, qt.Equals, 0)
+}
+
 // TestStreamsAreAdmittedByThePause plays 10 entries whose callers want more
 // than a group can give: what is admitted must keep its pauses.
 func TestStreamsAreAdmittedByThePause(t *testing.T) {
--- a/internal/coordination/balance/member.go
+++ b/internal/coordination/balance/member.go
@@ -22,6 +22,10 @@
 	slowPace = 1.5
 	// paceReportLife is how long an engine's word about its pace is used.
 	paceReportLife = 5 * time.Second
+	// silentAfter is how long a rank of a lively group may send nothing: more
+	// than the first event takes at the limit, 0.5 s, and less than the 2 s
+	// after which callers give up.
+	silentAfter = 900 * time.Millisecond
 	// refusedFor is how long a target that refused for want of room is left.
 	refusedFor = 100 * time.Millisecond
 )
@@ -40,6 +44,8 @@
 	// slowness is the engine's own word about its pace, as of slowAt.
 	slowness float64
 	slowAt   time.Time
+	// heard is when an event came last.
+	heard    time.Time
 	failures int
 	until    time.Time
 	sends    []time.Time
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -117,17 +117,22 @@
 var (
 	errStalled = errors.New("the target's group stands still")
 	errSlow    = errors.New("the target slows its group")
+	errSilent  = errors.New("the target sends nothing while its group goes on")
 )
 
-// watch ends a part whose rank group stands still, if the stream may go on at
-// another target.
+// watch ends a part whose rank or rank group stands still, if the stream may go
+// on at another target.
 func (x *exchange) watch(l *balance.Lease, stop context.CancelCauseFunc) *time.Timer {
 	movable := x.route.Resumable && len(x.tried)+1 < x.route.MaxTargets
 	var timer *time.Timer
 	timer = time.AfterFunc(math.MaxInt64, func() {
-		if movable && l.Stalled(time.Now()) {
+		switch now := time.Now(); {
+		case movable && l.Stalled(now):
 			stop(errStalled)
 			return
+		case movable && l.Silent(now):
+			stop(errSilent)
+			return
 		}
 		timer.Reset(silenceAgain)
 	})
