--- a/internal/coordination/placement/even.go
+++ b/internal/coordination/placement/even.go
@@ -47,11 +47,12 @@
 	loadedShare = 0.25
 )
 
-// PriceOfCopy answers the load of a group that has few requests: a step that is
-// shorter serves only those, so that a copy has to save more of it. Running are
-// the requests of the group, slots those that it may work on.
-func PriceOfCopy(load time.Duration, running, slots int) time.Duration {
-	price := copyShare * float64(load)
+// PriceOfCopy is the step time that one copy must save, for copies that take
+// copyTime to load. It answers groups with few requests: a shorter step serves
+// only those, so that a copy has to save more of it. Running are the requests of
+// the group, slots those that it may work on.
+func PriceOfCopy(copyTime time.Duration, running, slots int) time.Duration {
+	price := copyShare * float64(copyTime)
 	if loaded := loadedShare * float64(slots); float64(running) < loaded {
 		price *= loaded / float64(max(running, 1))
 	}
--- a/internal/state/incident/line.go
+++ b/internal/state/incident/line.go
@@ -64,7 +64,7 @@
 			switch {
 			case parseErr != nil:
 				skipped++
-			case l.request() == request || l.request() == "" && tells[l.Event]:
+			case l.request() == request || l.request() == "" && (beliefs[l.Event] || doings[l.Event]):
 				lines = append(lines, l)
 			}
 		}
--- a/internal/state/incident/story.go
+++ b/internal/state/incident/story.go
@@ -7,27 +7,32 @@
 	"strings"
 	"time"
 
+	"bluebellcrank/internal/state/event"
 	"bluebellcrank/internal/state/refusal"
 )
 
-const (
-	// requestEnded is the event that ends each request.
-	requestEnded = 2101
-	// before is how long before a request other processes' events may bear on
-	// it: a change of a group's map or a target that leaves takes some seconds.
-	before = 3 * time.Second
+// before is how long before a request other processes' events may bear on it: a
+// change of a group's map or a target that leaves takes some seconds.
+const before = 3 * time.Second
+
+var (
+	// beliefs are the events that hold until the next one of their process.
+	beliefs = numbers(event.ProcessStarted, event.ConfigAdopted, event.PlatformLost, event.PlatformBack,
+		event.DataCentreOut, event.ReadyChanged, event.StoreDetour)
+	// doings are what processes met or did beside their requests.
+	doings = numbers(event.ProcessDraining, event.ProcessStopped, event.SettingsChanged, event.SettingsInvalid,
+		event.HistoryGone, event.TargetInvalid, event.StoreWrite, event.TargetSlow, event.MapChanged,
+		event.SwitchStarted, event.SwitchEnded, event.SwitchFailed, event.SwitchRecovered, event.EngineUnreached)
 )
 
-// tells lists the events that say what a process believed or did beside its
-// requests; standing says that it holds until the next one of its process.
-var tells = map[int]bool{
-	1001: true, 1002: true, 1003: true, 1006: true, 1007: true, 1101: true,
-	1201: true, 1202: true, 1205: true, 1206: true, 1207: true, 1208: true, 1209: true, 1212: true,
-	3007: true, 3204: true, 3205: true, 3206: true, 3207: true, 3208: true, 3209: true,
+func numbers(list ...event.Event) map[int]bool {
+	out := map[int]bool{}
+	for _, e := range list {
+		out[e.Number()] = true
+	}
+	return out
 }
 
-var standing = map[int]bool{1001: true, 1101: true, 1201: true, 1202: true, 1207: true, 1209: true, 1212: true}
-
 // Story is what logs tell of one request.
 type Story struct {
 	lines []Line
@@ -45,11 +50,11 @@
 	last := own[len(own)-1]
 	var s Story
 	began := own[0].Time
-	if n := slices.IndexFunc(own, func(l Line) bool { return l.Event == requestEnded }); n >= 0 {
+	if n := slices.IndexFunc(own, func(l Line) bool { return l.Event == event.RequestDone.Number() }); n >= 0 {
 		s.ended = &own[n]
 		began = s.ended.Time.Add(-time.Duration(s.ended.number("total-ms")) * time.Millisecond)
 	}
-	held := map[int]Line{}
+	believed := map[int]Line{}
 	for _, l := range lines {
 		switch {
 		case l.request() == request:
@@ -57,11 +62,11 @@
 		case l.request() != "" || l.Time.After(last.Time):
 		case l.Time.After(began.Add(-before)):
 			s.lines = append(s.lines, l)
-		case l.Instance == last.Instance && standing[l.Event]:
-			held[l.Event] = l
+		case l.Instance == last.Instance && beliefs[l.Event]:
+			believed[l.Event] = l
 		}
 	}
-	s.lines = append(s.lines, slices.Collect(maps.Values(held))...)
+	s.lines = append(s.lines, slices.Collect(maps.Values(believed))...)
 	slices.SortStableFunc(s.lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	return s, true
 }
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -271,11 +271,7 @@
 func (g *Gateway) hasReturned(route string, left time.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	d := g.deadlines[route]
-	if d == nil {
-		d = &balance.Deadlines{}
-		g.deadlines[route] = d
-	}
+	d := valueOf(g.deadlines, route)
 	d.Observe(left)
 	return d.Returned(left)
 }
@@ -285,15 +281,19 @@
 func (g *Gateway) absent(service string, now time.Time) (soonest, latest time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	o := g.outages[service]
-	if o == nil {
-		o = &balance.Outage{}
-		g.outages[service] = o
-	}
+	o := valueOf(g.outages, service)
 	o.Observe(now)
 	return o.RetryAfter(now)
 }
 
+// valueOf returns a key's value in a map, a new one where there is none.
+func valueOf[T any](m map[string]*T, key string) *T {
+	if m[key] == nil {
+		m[key] = new(T)
+	}
+	return m[key]
+}
+
 func (g *Gateway) first(service string, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
