--- a/docs/benchmarks.sh
+++ b/docs/benchmarks.sh
@@ -5,7 +5,8 @@
 
 Written by `make bench`; the figures are those of its last run, on one machine
 of 8 cores. Rows with a bound are held to it, in virtual time, by `make test`;
-rows from the clock have none there. Bounds come from the users' targets.
+rows from the clock have none there. Bounds come from the users' targets. Days of
+the users' bench, round by round and beside baselines, are in [SCORES.md](SCORES.md).
 
 | name | value | unit | bound | verdict |
 |---|---|---|---|---|
