--- a/internal/coordination/balance/fleet.go
+++ b/internal/coordination/balance/fleet.go
@@ -317,7 +317,8 @@
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
 	m := l.member
-	return m.group.ranked && now.Sub(later(l.granted, m.heard)) > silentAfter && now.Sub(m.group.eventAt) < stallAfter
+	silent := max(silentAfter, silentPauses*m.group.pace.usual)
+	return m.group.ranked && now.Sub(later(l.granted, m.heard)) > silent && now.Sub(m.group.eventAt) < stallAfter
 }
 
 // Report takes a target's own word about its requests.
--- a/internal/coordination/balance/member.go
+++ b/internal/coordination/balance/member.go
@@ -26,6 +26,9 @@
 	// than the first event takes at the limit, 0.5 s, and less than the 2 s
 	// after which callers give up.
 	silentAfter = 900 * time.Millisecond
+	// silentPauses is the same in usual pauses, for groups that a slow engine
+	// holds back: a first event there takes several passes.
+	silentPauses = 8
 	// refusedFor is how long a target that refused for want of room is left.
 	refusedFor = 100 * time.Millisecond
 )
