Log each failed read of the configuration, and how each version was read

Of the three hypotheses on a late configuration, the log told none from the others: a failed watch that was tried again left no line at all, and the line of a version that is applied did not say by which read it came, how long that took, or how old the last confirmation was. The leader of a rank group dropped the error of its read.

--- a/internal/transport/follower/follower.go
+++ b/internal/transport/follower/follower.go
@@ -197,15 +197,17 @@
 	requestedAt := process.BootTime()
 	t, revision, err := f.store.Config(ctx)
 	if err != nil {
+		f.logConfigFailure(ctx, "list", requestedAt, err)
 		return err
 	}
-	f.applyTable(t)
+	f.applyTable(t, "list", requestedAt)
 	f.confirm(requestedAt)
 	for failures := 0; ; {
 		requestedAt = process.BootTime()
 		wait := nextConfigWait(f.ConfirmationAge(requestedAt), f.limits().ConfirmationLifetime)
 		t, next, err := f.store.WatchConfig(ctx, revision, wait)
 		if err != nil {
+			f.logConfigFailure(ctx, "watch", requestedAt, err)
 			f.restartWatches(ctx)
 			if failures++; errors.Is(err, platform.ErrHistoryGone) || failures > 1 {
 				return err
@@ -214,7 +216,7 @@
 		}
 		failures = 0
 		revision = next
-		f.applyTable(t)
+		f.applyTable(t, "watch", requestedAt)
 		f.confirm(confirmationTime(requestedAt, process.BootTime(), wait, t != nil))
 	}
 }
@@ -243,8 +245,20 @@
 	f.recordReachable()
 }
 
-// applyTable applies a configuration if it is newer than the current one.
-func (f *Follower) applyTable(t *routing.Table) {
+// logConfigFailure logs a failed read of the configuration, unless the follower is
+// being closed.
+func (f *Follower) logConfigFailure(ctx context.Context, read string, requestedAt time.Duration, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	now := process.BootTime()
+	event.ConfigFetchFailed.Log(f.log, "read", read, "read-ms", (now - requestedAt).Milliseconds(),
+		"proof-age-ms", f.ConfirmationAge(now).Milliseconds(), "error", err.Error())
+}
+
+// applyTable applies a configuration from a list or a watch that was requested at a
+// boot time, if it is newer than the current one.
+func (f *Follower) applyTable(t *routing.Table, read string, requestedAt time.Duration) {
 	if t == nil {
 		return
 	}
@@ -252,7 +266,9 @@
 		return
 	}
 	f.table.Store(t)
-	event.ConfigAdopted.Log(f.log, "version", t.Version())
+	now := process.BootTime()
+	event.ConfigAdopted.Log(f.log, "version", t.Version(), "read", read, "read-ms", (now - requestedAt).Milliseconds(),
+		"proof-age-ms", f.ConfirmationAge(now).Milliseconds())
 }
 
 // followTargets lists the targets and applies their changes until a call fails.
--- a/internal/transport/rankagent/leader.go
+++ b/internal/transport/rankagent/leader.go
@@ -218,7 +218,11 @@
 	a := l.agent
 	if l.profile == nil {
 		t, _, err := a.store.Config(ctx)
-		if err != nil || t == nil {
+		if err != nil {
+			event.ConfigFetchFailed.Log(a.log, "error", err.Error())
+			return false
+		}
+		if t == nil {
 			return false
 		}
 		if s := t.Service(a.settings.Service); s != nil {
