An invalid configuration is not applied, and does not hide the valid ones

What callers saw: after an object that describes no configuration, either wrong routes at once (no routes, no host, two routes of one prefix, a key of two accounts: 404 and 503 for all), or, if it did not decode, 503 for every key 3.5 s later and no later version until the operator wrote again.

Cause: the adapter applied whatever decoded, and the follower took an object that did not decode for a failed read, so that it confirmed nothing and read the same object again. A valid version between the last and an unreadable one was skipped.

Each version is validated now. The newest valid one is applied, and a read whose newest version is invalid still confirms it, as long as every version in between was seen; else they are read from the store's history, and without that no key is served. An invalid version is logged (1102) with its revision and its faults.

--- /dev/null
+++ b/internal/state/routing/validate.go
@@ -0,0 +1,61 @@
+package routing
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// Validate returns all errors in the table, joined. An invalid table must not be
+// applied: it would send requests to the wrong service, or to none.
+func (t *Table) Validate() error {
+	var errs []error
+	if t.version <= 0 {
+		errs = append(errs, fmt.Errorf("routing: version %d is not positive", t.version))
+	}
+	if len(t.hosts) == 0 {
+		errs = append(errs, errors.New("routing: there are no routes"))
+	}
+	for _, routes := range t.hosts {
+		prefixes := map[string]string{}
+		for _, r := range routes {
+			if other, found := prefixes[r.Prefix]; found {
+				errs = append(errs, fmt.Errorf("routing: routes %q and %q have the same host and prefix", other, r.Name))
+			}
+			prefixes[r.Prefix] = r.Name
+			errs = append(errs, r.validate(t.services))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// validate returns all errors in the route, joined.
+func (r *Route) validate(services map[string]*Service) error {
+	var errs []error
+	fail := func(format string, values ...any) {
+		errs = append(errs, fmt.Errorf("routing: route %q: "+format, append([]any{r.Name}, values...)...))
+	}
+	if r.Host == "" {
+		fail("the host is missing")
+	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		fail("prefix %q does not begin and end with a slash", r.Prefix)
+	}
+	if r.Timeout <= 0 {
+		fail("time-out %s is not positive", r.Timeout)
+	}
+	totalWeight := 0
+	for _, s := range r.Shares {
+		totalWeight += s.Weight
+		if s.Weight < 0 {
+			fail("the weight of service %q is %d", s.Service, s.Weight)
+		}
+		if services[s.Service] == nil {
+			fail("service %q does not exist", s.Service)
+		}
+	}
+	if totalWeight <= 0 {
+		fail("no service has a weight")
+	}
+	return errors.Join(errs...)
+}
--- a/internal/transport/follower/follower.go
+++ b/internal/transport/follower/follower.go
@@ -66,6 +66,9 @@
 	log    hclog.Logger
 
 	table atomic.Pointer[routing.Table]
+	// seenRevision is the revision up to which every version of the configuration
+	// was read; 0 if one may have been missed.
+	seenRevision int64
 	// confirmedAt is the boot time of the latest confirmation, in nanoseconds.
 	confirmedAt       atomic.Int64
 	targetsListed     atomic.Bool
@@ -193,31 +196,49 @@
 // followConfig reads the configuration and watches it. It tolerates one failed
 // watch, and returns on the second failure in a row or when the history is
 // gone, after which the configuration is read again.
+//
+// If the newest version is invalid, the valid one before it may be unknown, and may
+// have removed keys. It is then read from the store's history. Where that is gone,
+// nothing is confirmed until the next valid version.
 func (f *Follower) followConfig(ctx context.Context) error {
 	requestedAt := process.BootTime()
-	t, revision, err := f.store.Config(ctx)
+	read, err := f.store.Config(ctx)
 	if err != nil {
 		f.logConfigFailure(ctx, "list", requestedAt, err)
 		return err
 	}
-	f.applyTable(t, "list", requestedAt)
-	f.confirm(requestedAt)
+	f.applyConfig(read, "list", requestedAt)
+	revision, complete := read.Revision, len(read.Invalid) == 0
+	if complete {
+		f.seenRevision = revision
+		f.confirm(requestedAt)
+	} else if f.seenRevision > 0 {
+		revision, complete = f.seenRevision, true
+	}
 	for failures := 0; ; {
 		requestedAt = process.BootTime()
 		wait := nextConfigWait(f.ConfirmationAge(requestedAt), f.limits().ConfirmationLifetime)
-		t, next, err := f.store.WatchConfig(ctx, revision, wait)
+		read, err := f.store.WatchConfig(ctx, revision, wait)
 		if err != nil {
 			f.logConfigFailure(ctx, "watch", requestedAt, err)
 			f.restartWatches(ctx)
-			if failures++; errors.Is(err, platform.ErrHistoryGone) || failures > 1 {
+			isHistoryGone := errors.Is(err, platform.ErrHistoryGone)
+			if isHistoryGone {
+				f.seenRevision = 0
+			}
+			if failures++; isHistoryGone || failures > 1 {
 				return err
 			}
 			continue
 		}
 		failures = 0
-		revision = next
-		f.applyTable(t, "watch", requestedAt)
-		f.confirm(confirmationTime(requestedAt, process.BootTime(), wait, t != nil))
+		revision, complete = read.Revision, complete || read.Table != nil
+		f.applyConfig(read, "watch", requestedAt)
+		if complete {
+			f.seenRevision = revision
+			changed := read.Table != nil || len(read.Invalid) > 0
+			f.confirm(confirmationTime(requestedAt, process.BootTime(), wait, changed))
+		}
 	}
 }
 
@@ -256,9 +277,14 @@
 		"proof-age-ms", f.ConfirmationAge(now).Milliseconds(), "error", err.Error())
 }
 
-// applyTable applies a configuration from a list or a watch that was requested at a
-// boot time, if it is newer than the current one.
-func (f *Follower) applyTable(t *routing.Table, read string, requestedAt time.Duration) {
+// applyConfig applies the configuration that a list or a watch returned, which was
+// requested at a boot time, if it is newer than the current one. It logs the versions
+// that are invalid.
+func (f *Follower) applyConfig(c platform.ConfigRead, read string, requestedAt time.Duration) {
+	for _, err := range c.Invalid {
+		event.ConfigInvalid.Log(f.log, "error", err.Error())
+	}
+	t := c.Table
 	if t == nil {
 		return
 	}
--- a/internal/transport/gateway/env_test.go
+++ b/internal/transport/gateway/env_test.go
@@ -30,11 +30,14 @@
 	// store refuses the requests of the first entry.
 	storeAddress string
 	storeBlocked atomic.Bool
-	entriesPort  int
-	gateway      *Gateway
-	address      string
-	client       *http.Client
-	version      int
+	// openedConns counts the connections to the first entry's store, and
+	// silentConns is the number of those that carry nothing any more.
+	openedConns, silentConns atomic.Int64
+	entriesPort              int
+	gateway                  *Gateway
+	address                  string
+	client                   *http.Client
+	version                  int
 	// accepted has the client addresses of the connections that entries accepted.
 	accepted sync.Map
 	// settings is the content of the settings file; nil stands for an invalid file.
@@ -79,13 +82,7 @@
 	env := &testEnv{t: t, c: qt.New(t), store: standin.NewStore(), client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
 	env.storeAddress = env.serve(env.store)
 	env.configure(testKey, order, status, draft, single)
-	env.gateway = env.addEntry("entry-1", "127.0.0.1", env.serve(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		if env.storeBlocked.Load() {
-			rw.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		env.store.ServeHTTP(rw, r)
-	})))
+	env.gateway = env.addEntry("entry-1", "127.0.0.1", env.serveFirstStore())
 	env.address = env.gateway.settings.TrafficListen
 	env.eventually("the entry is ready", env.gateway.isReady)
 	env.eventually("the list of entries is known", func() bool { return env.gateway.entryCount.Load() == 1 })
@@ -99,6 +96,37 @@
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
+// connNumber is the key of a connection's number in the context of its requests.
+type connNumber struct{}
+
+// serveFirstStore serves the store to the first entry and returns its address.
+func (env *testEnv) serveFirstStore() string {
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if env.storeBlocked.Load() {
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		answer := httptest.NewRecorder()
+		env.store.ServeHTTP(answer, r)
+		if r.Context().Value(connNumber{}).(int64) <= env.silentConns.Load() {
+			<-r.Context().Done()
+			return
+		}
+		rw.WriteHeader(answer.Code)
+		_, _ = rw.Write(answer.Body.Bytes())
+	}))
+	s.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, connNumber{}, env.openedConns.Add(1))
+	}
+	s.Start()
+	env.t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// silenceStore has the open connections from the first entry to the store carry
+// nothing any more.
+func (env *testEnv) silenceStore() { env.silentConns.Store(env.openedConns.Load()) }
+
 // addEntry starts an entry on a loopback address. All entries use the same port
 // for connections between them.
 func (env *testEnv) addEntry(name, address, store string) *Gateway {
--- a/internal/transport/rankagent/leader.go
+++ b/internal/transport/rankagent/leader.go
@@ -217,15 +217,18 @@
 	l.listedAt = now
 	a := l.agent
 	if l.profile == nil {
-		t, _, err := a.store.Config(ctx)
+		read, err := a.store.Config(ctx)
 		if err != nil {
 			event.ConfigFetchFailed.Log(a.log, "error", err.Error())
 			return false
 		}
-		if t == nil {
+		for _, err := range read.Invalid {
+			event.ConfigInvalid.Log(a.log, "error", err.Error())
+		}
+		if read.Table == nil {
 			return false
 		}
-		if s := t.Service(a.settings.Service); s != nil {
+		if s := read.Table.Service(a.settings.Service); s != nil {
 			l.profile = s.Engine
 		}
 	}
