A relay that stops answering does not delay the configuration

What callers saw: the configuration of an entry in good order, with the store in good order, was up to 2.7 s late; requests went to services to which the new version no longer sends them, or got 503 on an added route.

Cause: after one failed read of the store an entry reads through other entries for 10 s, also once it reaches the store again. A relay that is paused or cut off in that time holds the watch until its time-out. The class: a detour that outlasts its reason, and then depends on what nobody watches.

While reads are relayed, each is also sent directly, and the first answer counts.

The test of the selector counts relays only now, and has the direct path recover while it is relayed.

--- a/internal/coordination/membership/relay.go
+++ b/internal/coordination/membership/relay.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// relayPeriod is how long after a failed direct call reads try peers before
-	// the direct path. A direct read may hang for 2.7 s, as long as a watch lasts,
+	// relayPeriod is how long after a failed direct call reads are also relayed
+	// through peers. A direct read may hang for 2.7 s, as long as a watch lasts,
 	// and no changes arrive meanwhile.
 	relayPeriod = 10 * time.Second
 	// maxRelayPeers is the number of peers that one read tries. If half of the
@@ -20,10 +20,10 @@
 // Direct is the path of a read that goes to the store and not through a peer.
 const Direct = ""
 
-// RelaySelector selects the paths of an instance's reads of the store: directly,
-// or relayed through a peer while the store does not respond to this instance. A
-// path is the address of a peer, or Direct. RelaySelector is safe for concurrent
-// use.
+// RelaySelector selects the paths of an instance's reads of the store: directly
+// only, or also relayed through a peer while the store does not respond to this
+// instance. A path is the address of a peer, or Direct. RelaySelector is safe for
+// concurrent use.
 type RelaySelector struct {
 	mu    sync.Mutex
 	rand  *rand.Rand
@@ -48,12 +48,13 @@
 	r.peers = peers
 }
 
-// Paths returns the paths that a read tries, in order.
-func (r *RelaySelector) Paths(now time.Time) []string {
+// Relays returns the peers through which a read is tried in order, at the same time
+// as directly; none if the direct path suffices.
+func (r *RelaySelector) Relays(now time.Time) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !now.Before(r.retryDirectAt) {
-		return []string{Direct}
+		return nil
 	}
 	var paths []string
 	if r.lastRelay != "" {
@@ -67,7 +68,7 @@
 			paths = append(paths, r.peers[n])
 		}
 	}
-	return append(paths, Direct)
+	return paths
 }
 
 // RecordCall records whether a call to the store got a response on a path. The
--- a/internal/coordination/membership/relay_test.go
+++ b/internal/coordination/membership/relay_test.go
@@ -17,7 +17,8 @@
 		// responding are the paths on which a read gets a response at that time.
 		responding []string
 		want       string
-		paths      int
+		// relays is the number of peers that may relay the read.
+		relays int
 		// changed is set if the direct path fails or recovers with this read.
 		changed bool
 	}
@@ -27,28 +28,32 @@
 		reads []read
 	}{
 		{"the store answers", []string{"a", "b"}, []read{
-			{0, []string{Direct, "a", "b"}, Direct, 1, false},
+			{0, []string{Direct, "a", "b"}, Direct, 0, false},
 		}},
 		{"the store does not answer this instance, then answers again", []string{"a", "b"}, []read{
-			{0, []string{"a"}, "none", 1, true},
-			{time.Second, []string{"a"}, "a", 3, false},
-			{9 * time.Second, []string{Direct, "a"}, "a", 3, false},
-			{11 * time.Second, []string{Direct, "a"}, Direct, 1, true},
+			{0, []string{"a"}, "none", 0, true},
+			{time.Second, []string{"a"}, "a", 2, false},
+			{9 * time.Second, []string{Direct, "a"}, Direct, 2, true},
+			{9100 * time.Millisecond, []string{Direct, "a"}, Direct, 0, false},
+		}},
+		{"an instance without reads for a while", []string{"a", "b"}, []read{
+			{0, []string{"a"}, "none", 0, true},
+			{11 * time.Second, []string{Direct, "a"}, Direct, 0, true},
 		}},
 		{"the relaying peer fails, another one relays", []string{"a", "b"}, []read{
-			{0, nil, "none", 1, true},
-			{1 * time.Second, []string{"a"}, "a", 3, false},
-			{2 * time.Second, []string{"b"}, "b", 3, false},
+			{0, nil, "none", 0, true},
+			{1 * time.Second, []string{"a"}, "a", 2, false},
+			{2 * time.Second, []string{"b"}, "b", 2, false},
 		}},
 		{"the store is down for all instances and comes back", []string{"a", "b", "c", "d"}, []read{
-			{0, nil, "none", 1, true},
-			{1 * time.Second, nil, "none", 4, false},
-			{2 * time.Second, []string{Direct}, Direct, 4, true},
-			{3 * time.Second, []string{Direct}, Direct, 1, false},
+			{0, nil, "none", 0, true},
+			{1 * time.Second, nil, "none", 3, false},
+			{2 * time.Second, []string{Direct}, Direct, 3, true},
+			{3 * time.Second, []string{Direct}, Direct, 0, false},
 		}},
 		{"no peers", nil, []read{
-			{0, nil, "none", 1, true},
-			{time.Second, []string{Direct}, Direct, 1, true},
+			{0, nil, "none", 0, true},
+			{time.Second, []string{Direct}, Direct, 0, true},
 		}},
 	}
 	for _, tt := range tests {
@@ -59,10 +64,10 @@
 			selector.SetPeers(tt.peers)
 			for _, r := range tt.reads {
 				now := start.Add(r.at)
-				paths := selector.Paths(now)
-				c.Check(paths, qt.HasLen, r.paths, qt.Commentf("at %s", r.at))
+				relays := selector.Relays(now)
+				c.Check(relays, qt.HasLen, r.relays, qt.Commentf("at %s", r.at))
 				got, changed := "none", false
-				for _, path := range paths {
+				for _, path := range append([]string{Direct}, relays...) {
 					responded := slices.Contains(r.responding, path)
 					changed = selector.RecordCall(path, responded, now) || changed
 					if responded {
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -142,7 +142,7 @@
 		options:        options,
 		log:            log,
 		readRoutes:     readRoutes,
-		store:          platform.NewRelayedStore(settings.StoreAddress, platform.ReadPaths{Choose: readRoutes.Paths, RecordCall: recordRead}),
+		store:          platform.NewRelayedStore(settings.StoreAddress, platform.ReadPaths{Choose: readRoutes.Relays, RecordCall: recordRead}),
 		fleet:          balance.NewFleet(newRand()),
 		metrics:        newEntryMetrics(metricSet, options.DroppedLogLines),
 		clients:        newClientConns(),
