--- a/internal/transport/gateway/config_path_test.go
+++ b/internal/transport/gateway/config_path_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -44,3 +46,29 @@
 	time.Sleep(configPropagation)
 	env.c.Check(env.do(env.request(status, "a-1", "")).status, qt.Equals, 200)
 }
+
+// TestSilentStoreConnections has all open connections to the store go silent while
+// new ones work, those that are idle as well.
+func TestSilentStoreConnections(t *testing.T) {
+	const phases = 5
+	env := newTestEnv(t)
+	env.addTarget(&standin.Target{ID: "t-0"}, "t-0", "bells")
+	for n := range phases {
+		var reads sync.WaitGroup
+		for range 4 {
+			reads.Go(func() {
+				_, err := env.gateway.store.Entries(t.Context(), true)
+				env.c.Check(err, qt.IsNil)
+			})
+		}
+		reads.Wait()
+		time.Sleep(time.Duration(n) * 400 * time.Millisecond)
+		silentAt := time.Now()
+		env.silenceStore()
+		time.Sleep(stabilityWindow - configPropagation)
+		added := route{name: fmt.Sprintf("added-%d", n), kind: "idempotent", service: "bells", maxTargets: 1, timeoutMs: 1000}
+		env.configure(testKey, order, added)
+		time.Sleep(time.Until(silentAt.Add(stabilityWindow)))
+		env.c.Check(env.do(env.request(added, "a-1", "")).status, qt.Equals, 200, qt.Commentf("phase %d", n))
+	}
+}
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"errors"
 	"net"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -67,20 +66,6 @@
 	return &conn{Conn: c, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize), idleTimeout: maxIdleTime}
 }
 
-func newDialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{
-		Timeout:         timeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
-		Control: func(_, _ string, c syscall.RawConn) error {
-			var optErr error
-			err := c.Control(func(fd uintptr) {
-				optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-			})
-			return errors.Join(err, optErr)
-		},
-	}
-}
-
 // abort closes a connection whose request got no complete response. It resets
 // the connection, so that bytes still in transit do not reach a paused target
 // after the client has left.
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"bluebellcrank/internal/protocol/socket"
 )
 
 const (
@@ -105,7 +107,8 @@
 
 // NewPool returns an empty pool that calls opened for each new connection.
 func NewPool(opened func()) *Pool {
-	return &Pool{dialer: newDialer(dialTimeout), opened: opened, idle: map[string][]*conn{}}
+	keepAlive := net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount}
+	return &Pool{dialer: socket.NewDialer(dialTimeout, keepAlive, unackedTimeout), opened: opened, idle: map[string][]*conn{}}
 }
 
 // Do sends a request once and returns when the header of the response was read.
