A request is checked against the configuration in force before it is sent

What callers saw: a request whose body arrives slowly was handled by the version in force when its header came, up to its time-out later; and a request was sent to a second target with a key that had been removed meanwhile.

Cause: the route and the account were found once, on the header. The class: a decision that is kept longer than what it rests on.

The request is resolved again once its body is in, if there is a newer version, and its key is looked up again before each send. A request that may have run is answered 502 then. A target that began to leave between the choice and the send is replaced by another one; it was a refusal before.

TestKeyRemovedWhileTheBodyArrives (ran, 200 instead of 401) and TestKeyRemovedBeforeASecondAttempt (2 runs instead of 1) failed before.

--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -169,10 +169,20 @@
 // would be unknown whether the request ran.
 const maxSingleRunIdle = 800 * time.Millisecond
 
-// maySend reports whether the request may be sent to the lease's target now: the
-// target is usable and, for a request with a key, the configuration is confirmed.
-func (x *exchange) maySend(lease *balance.Lease) bool {
-	return lease.IsUsable() && (x.account == "" || x.gateway.isConfirmed())
+// checkKey returns the reason not to send the request now, or an empty reason. For a
+// request with a key, the configuration must be confirmed and the key still be the
+// account's.
+func (x *exchange) checkKey() refusal.Reason {
+	if x.account == "" {
+		return ""
+	}
+	if !x.gateway.isConfirmed() {
+		return refusal.PlatformDown
+	}
+	if account := x.gateway.follower.Table().Account(x.client.APIKey); account == nil || account.Name != x.account {
+		return refusal.Unauthorized
+	}
+	return ""
 }
 
 // refuse ends the request with an answer of this entry. If a target may have run
@@ -180,7 +190,7 @@
 // request did not run.
 func (x *exchange) refuse(reason refusal.Reason, retryAfter time.Duration) {
 	status := reason.Status()
-	if x.mayHaveRun && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
+	if x.mayHaveRun && (status == http.StatusServiceUnavailable || status < http.StatusInternalServerError) {
 		reason = refusal.ConnectionLost
 		status = reason.Status()
 	}
--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -46,9 +46,13 @@
 			x.refuseUnplaced(ctx, verdict)
 			return
 		}
-		if !x.maySend(lease) {
+		if !lease.IsUsable() {
 			lease.Done(balance.Abandoned, 0, now)
-			x.refuse(refusal.PlatformDown, retryDelay(minRetryDelay, maxRetryDelay))
+			continue
+		}
+		if reason := x.checkKey(); reason != "" {
+			lease.Done(balance.Abandoned, 0, now)
+			x.refuse(reason, retryDelay(minRetryDelay, maxRetryDelay))
 			return
 		}
 		a, retry, reason := x.tryTarget(ctx, lease)
@@ -157,7 +161,7 @@
 	if lease == nil {
 		return nil
 	}
-	if !x.maySend(lease) {
+	if !lease.IsUsable() || x.checkKey() != "" {
 		lease.Done(balance.Abandoned, 0, now)
 		return nil
 	}
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -35,16 +35,19 @@
 		x.refuse(reason, retryDelay(minRetryDelay, maxRetryDelay))
 		return
 	}
-	timeout := x.route.Timeout
-	if x.client.Timeout > 0 {
-		timeout = min(timeout, x.client.Timeout)
-	}
-	x.deadline = now.Add(timeout)
+	x.setDeadline(now)
 	if reason := x.readBody(); reason != "" {
 		x.closeConnection()
 		x.refuse(reason, 0)
 		return
 	}
+	if x.table != g.follower.Table() {
+		if reason := x.resolve(); reason != "" {
+			x.refuse(reason, retryDelay(minRetryDelay, maxRetryDelay))
+			return
+		}
+		x.setDeadline(now)
+	}
 	x.latencyGoal = now.Add(x.route.FirstByteGoal)
 	x.isRepeated = g.recordDeadline(x.route.Name, x.client.Timeout) || x.client.LastEventID != ""
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
@@ -57,6 +60,15 @@
 	x.servePlain(ctx)
 }
 
+// setDeadline sets the deadline of a request that began to arrive at began.
+func (x *exchange) setDeadline(began time.Time) {
+	timeout := x.route.Timeout
+	if x.client.Timeout > 0 {
+		timeout = min(timeout, x.client.Timeout)
+	}
+	x.deadline = began.Add(timeout)
+}
+
 // closeConnection closes the client's connection after the answer, because the
 // platform directs only new connections to entries that are ready.
 func (x *exchange) closeConnection() {
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net/http"
@@ -28,12 +29,16 @@
 			x.refuseUnplaced(ctx, verdict)
 			return
 		}
-		if !x.maySend(lease) {
+		if !lease.IsUsable() {
+			lease.Done(balance.Abandoned, 0, now)
+			continue
+		}
+		if reason := x.checkKey(); reason != "" {
 			lease.Done(balance.Abandoned, 0, now)
 			if x.hasResponseBegun {
-				x.abortStream(ctx, errors.New("the configuration is not confirmed or the target is not usable"))
+				x.abortStream(ctx, fmt.Errorf("the stream is not resumed: %s", reason))
 			}
-			x.refuse(refusal.PlatformDown, retryDelay(minRetryDelay, maxRetryDelay))
+			x.refuse(reason, retryDelay(minRetryDelay, maxRetryDelay))
 			return
 		}
 		ended, reason, err := x.serveSegment(ctx, lease)
