Objects of other writers do not make a list unreadable

An object whose metadata has a field of another type made the whole list of targets, or all changes of a watch, unreadable, so that an entry learned of no target at all; an odd entry did the same to the list of entries.

--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -66,6 +66,7 @@
 	EntryListUnreadable      = declare(1210, hclog.Warn, "list of entries could not be read: the last known count stays in force")
 	EntryRemoved             = declare(1211, hclog.Warn, "entry no longer responds: removed from the list of entries")
 	StoreReadsRelayed        = declare(1212, hclog.Warn, "reads of the store relayed through other entries, or direct again")
+	EntryInvalid             = declare(1213, hclog.Warn, "list of entries contains an invalid entry")
 	RequestEnded             = declare(2101, hclog.Info, "request ended")
 	SlowClientsClosed        = declare(2103, hclog.Info, "connections closed: request headers incomplete after the time limit")
 	AttemptFailed            = declare(2102, hclog.Info, "attempt at a target failed")
--- a/internal/transport/gateway/config_path_test.go
+++ b/internal/transport/gateway/config_path_test.go
@@ -57,7 +57,7 @@
 		var reads sync.WaitGroup
 		for range 4 {
 			reads.Go(func() {
-				_, err := env.gateway.store.Entries(t.Context(), true)
+				_, _, err := env.gateway.store.Entries(t.Context(), true)
 				env.c.Check(err, qt.IsNil)
 			})
 		}
--- a/internal/transport/gateway/entries.go
+++ b/internal/transport/gateway/entries.go
@@ -44,7 +44,10 @@
 	for ctx.Err() == nil {
 		delay := backoff
 		backoff = min(2*backoff, maxEntriesRetryDelay)
-		list, err := g.store.Entries(ctx, reads > 1)
+		list, invalid, err := g.store.Entries(ctx, reads > 1)
+		for _, err := range invalid {
+			event.EntryInvalid.Log(g.log, "error", err.Error())
+		}
 		_, isListed := list[g.settings.Name]
 		switch {
 		case err != nil:
--- a/internal/transport/gateway/entries_test.go
+++ b/internal/transport/gateway/entries_test.go
@@ -39,7 +39,7 @@
 			const kind, other = "bluebellcrank-entries", "entry-9"
 			env.store.Put(kind, other, map[string]any{"address": tt.address})
 			env.eventually("the entry is on the list", func() bool { return len(env.store.Names(kind)) == 2 })
-			list, err := env.gateway.store.Entries(t.Context(), false)
+			list, _, err := env.gateway.store.Entries(t.Context(), false)
 			c.Assert(err, qt.IsNil)
 			if tt.reregisters {
 				env.store.Put(kind, other, map[string]any{"address": tt.address, "data-centre": "west"})
@@ -109,7 +109,7 @@
 	env.eventually("the entry is on the list", func() bool { return len(env.store.Names(kind)) == 1 })
 	env.store.Delete(kind, "entry-1")
 	env.eventually("the entry is on the list again", func() bool { return len(env.store.Names(kind)) == 1 })
-	list, err := env.gateway.store.Entries(t.Context(), false)
+	list, _, err := env.gateway.store.Entries(t.Context(), false)
 	c.Assert(err, qt.IsNil)
 	c.Check(list["entry-1"], qt.Not(qt.Equals), platform.Entry{})
 }
