Attempts say whether their target ended, and which parts their prompt has

Of the hypotheses on targets that end one after the other, the log told none from the others: a target that ended looked like one that cut a stream. An attempt that breaks before its first event now probes its target: one that refuses connections has ended, one that is cut off does not respond, and one that lives accepts. The line of a failed attempt (2102) has the result, the number of its events and the parts of its prompt.

--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -52,6 +52,8 @@
 	hasResponseBegun bool
 	// firstByteAt is the time at which the response to the client began.
 	firstByteAt time.Time
+	// attemptEvents counts the events that the current attempt has brought.
+	attemptEvents int
 	// longestGap is the longest time between consecutive events of one segment,
 	// the part of a stream that one target serves.
 	longestGap time.Duration
@@ -127,7 +129,7 @@
 // the target reports.
 func (x *exchange) send(ctx context.Context, lease *balance.Lease) (*upstream.Response, platform.Answer, error) {
 	t := lease.Target()
-	x.targetID = t.ID
+	x.targetID, x.attemptEvents = t.ID, 0
 	x.tried = append(x.tried, t.ID)
 	now := time.Now()
 	header := platform.ForwardHeader(x.request.Header, platform.TargetRequest{
--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"bluebellcrank/internal/coordination/balance"
@@ -192,8 +193,10 @@
 // that its client cancelled, or that moves to another target because the rank
 // group is stalled or slowed down, does not count against the target.
 func (x *exchange) targetFailed(lease *balance.Lease, err error) {
+	ended := x.hasEnded(lease, err)
 	event.AttemptFailed.Log(x.gateway.log, "id", x.client.AttemptID, "target", lease.Target().ID,
-		"error", err.Error(), "may-have-run", x.mayHaveRun)
+		"error", err.Error(), "may-have-run", x.mayHaveRun, "events", x.attemptEvents, "target-ended", ended,
+		"prompt-parts", strings.Join(x.client.PromptParts, ","))
 	if x.request.Context().Err() != nil || errors.Is(err, errStalled) || errors.Is(err, errSlow) {
 		lease.Done(balance.Abandoned, 0, time.Now())
 		return
@@ -202,6 +205,17 @@
 	lease.Done(balance.Failed, 0, time.Now())
 }
 
+// hasEnded reports whether the target of a failed attempt has ended, so that this
+// request may be the cause: the target broke the connection before the answer began,
+// and refuses new ones. A target that is cut off refuses none, and one that lives
+// accepts them.
+func (x *exchange) hasEnded(lease *balance.Lease, err error) bool {
+	if x.attemptEvents > 0 || !x.mayHaveRun || !upstream.IsBrokenByTarget(err) {
+		return false
+	}
+	return x.gateway.pool.IsRefused(x.request.Context(), lease.Target().Address)
+}
+
 // targetRefused ends the lease of a target that did not run the request.
 func (x *exchange) targetRefused(lease *balance.Lease, res *upstream.Response, info platform.Answer) {
 	res.DiscardBody()
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -192,6 +192,7 @@
 		// A stalled target may still send comments that keep the connection open.
 		if !events.isEmpty {
 			stallTimer.Reset(stallCheckDelay)
+			x.attemptEvents++
 			x.recordEvent(lease, lastEventAt, now)
 			lastEventAt = now
 		}
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"bluebellcrank/internal/protocol/socket"
@@ -60,6 +61,17 @@
 // Sent reports whether the target may have seen the request.
 func (e *SendError) Sent() bool { return e.mayBeSent }
 
+// IsBrokenByTarget reports whether an error of a request or of its response means that
+// the target's end of the connection was closed or reset.
+func IsBrokenByTarget(err error) bool {
+	for _, broken := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, broken) {
+			return true
+		}
+	}
+	return false
+}
+
 // Request is one request to a target.
 type Request struct {
 	// Address is the target's host:port.
@@ -306,6 +318,19 @@
 	}
 }
 
+// IsRefused reports whether a target refuses new connections, as an address does whose
+// process has ended. A target that does not respond at all is not refused.
+func (p *Pool) IsRefused(ctx context.Context, address string) bool {
+	c, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.opened()
+	// The connection carried nothing, so an error of Close loses nothing.
+	_ = c.Close()
+	return false
+}
+
 // CloseIdle closes the idle connections to a target. After a failed request they
 // may be dead as well.
 func (p *Pool) CloseIdle(address string) {
