A request that crashes its targets is quarantined at all entries

What callers saw: a request that crashes each target that begins to run it was sent again and again, by its callers at any entry, and each end took the other requests of the target (and of its rank group) along.

Cause: nobody counted on the users' platform. retry.Suspects serves the own interface only, and an entry that saw a target end sent the request to the next one. The class: a retry whose cause is the request itself.

An entry that sees a target break a connection before the third event, and refuse new ones, blames the request (account, host, method, path, body). After two crashes that do not coincide, or one just as the answer began, no entry sends it: the entry that decides tells others, which ask for what has changed and tell others in turn; each entry also reads the list of a random other one three times per stability window, so that one that was cut off, paused or just started knows within it. What is quarantined is kept in the store, for the case that all entries end. One entry at a time tries it again, 10 s, a minute, ten minutes and an hour after a crash; an answer ends the quarantine. Crashes are exchanged with the interval in which they may have been, since ages that are passed on drift and one crash would count several times.

Retry-After is the time until the next trial.

--- /dev/null
+++ b/cmd/standin/crash_test.go
@@ -0,0 +1,286 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bluebellcrank/platform/standin"
+)
+
+const (
+	// crashWindow is how long after the last tolerated crash an entry may not know of
+	// it yet.
+	crashWindow = 3 * time.Second
+	// maxLateArrivals is how many requests that crash targets may reach targets after
+	// that.
+	maxLateArrivals = 3
+	// crashRestartDelay is the time after which a target that ended is back.
+	crashRestartDelay = 1500 * time.Millisecond
+)
+
+// crashTarget is a target that ends when it begins to answer a deadly request, and is
+// back after crashRestartDelay at the same address.
+type crashTarget struct {
+	run      *crashRun
+	target   standin.Target
+	address  string
+	mu       sync.Mutex
+	server   *http.Server
+	hasEnded bool
+}
+
+// crashRun runs entries before targets that requests crash.
+type crashRun struct {
+	*soakRun
+	// isDeadly reports whether a request crashes targets.
+	isDeadly func(r *http.Request, body string) bool
+
+	mu sync.Mutex
+	// arrivals and crashes are the times of deadly requests that reached targets, and
+	// of the targets' ends.
+	arrivals, crashes []time.Time
+}
+
+// newCrashRun replaces the targets of a new run of entries.
+func newCrashRun(t *testing.T, isDeadly func(r *http.Request, body string) bool) *crashRun {
+	c := &crashRun{soakRun: newSoakRun(t, 1, soakRevocationLimit), isDeadly: isDeadly}
+	for _, name := range c.store.Names("servers") {
+		c.store.Delete("servers", name)
+	}
+	for n := range 8 {
+		target := &crashTarget{run: c, address: freeAddress()}
+		service := []string{"bells", "drafts"}[n%2]
+		target.target.ID = fmt.Sprintf("%s-crash-%d", service, n)
+		target.target.Handler = target.serve
+		target.start()
+		t.Cleanup(target.stop)
+		c.store.Put("servers", target.target.ID, map[string]any{"service": service, "address": target.address, "zone": "east", "slots": 16, "state": "serving"})
+	}
+	client := &http.Client{Timeout: 3 * time.Second}
+	c.eventually("every entry serves", func() bool {
+		for _, e := range c.entries {
+			if c.send(client, e, true, "sound", "").status != http.StatusOK || c.send(client, e, false, "sound", "").status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+	return c
+}
+
+// start listens at the target's address.
+func (t *crashTarget) start() {
+	l, err := net.Listen("tcp", t.address)
+	t.run.c.Assert(err, qt.IsNil)
+	server := &http.Server{Handler: &t.target}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.server, t.hasEnded = server, false
+	// Serve ends with the server.
+	go func() { _ = server.Serve(l) }()
+}
+
+// stop closes the listener and all connections.
+func (t *crashTarget) stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_ = t.server.Close()
+}
+
+// end ends the target, unless another request just did.
+func (t *crashTarget) end() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.hasEnded {
+		return
+	}
+	t.hasEnded = true
+	t.run.record(&t.run.crashes)
+	time.AfterFunc(crashRestartDelay, t.start)
+	_ = t.server.Close()
+}
+
+// serve answers a request, or begins to and ends the target.
+func (t *crashTarget) serve(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	isStream := strings.HasPrefix(r.URL.Path, "/draft/")
+	if t.run.isDeadly(r, string(body)) {
+		t.run.record(&t.run.arrivals)
+		time.Sleep(20 * time.Millisecond)
+		if isStream {
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.WriteHeader(http.StatusOK)
+			_ = http.NewResponseController(w).Flush()
+		}
+		t.end()
+		panic(http.ErrAbortHandler)
+	}
+	if isStream {
+		standin.Events(soakEventCount, 15*time.Millisecond)(w, r)
+		return
+	}
+	time.Sleep(30 * time.Millisecond)
+	_, _ = io.WriteString(w, "struck")
+}
+
+func (c *crashRun) record(times *[]time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	*times = append(*times, time.Now())
+}
+
+func (c *crashRun) crashCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.crashes)
+}
+
+// lateArrivals returns how many deadly requests reached targets later than crashWindow
+// after the crash with a number, and how many targets ended in all.
+func (c *crashRun) lateArrivals(crash int) (late, ended int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.crashes) < crash {
+		return 0, len(c.crashes)
+	}
+	for _, at := range c.arrivals {
+		if at.Sub(c.crashes[crash-1]) > crashWindow {
+			late++
+		}
+	}
+	return late, len(c.crashes)
+}
+
+// send sends one request to an entry.
+func (c *crashRun) send(client *http.Client, e *soakEntry, stream bool, body, parts string) soakAttempt {
+	a := soakAttempt{id: fmt.Sprintf("c-%d", c.lastAttempt.Add(1)), streaming: stream}
+	path := "/order/x"
+	if stream {
+		path = "/draft/x"
+	}
+	request, err := http.NewRequest(http.MethodPost, "http://"+e.trafficAddress+path, strings.NewReader(body))
+	c.c.Assert(err, qt.IsNil)
+	request.Host = "guild.example"
+	request.Header.Set("Attempt-Id", a.id)
+	request.Header.Set("Deadline-Ms", "3000")
+	request.Header.Set("Authorization", "Token "+soakKey)
+	if parts != "" {
+		request.Header.Set("Prompt-Prefix", parts)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return a
+	}
+	content, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	a.status, a.body, a.complete = response.StatusCode, string(content), err == nil
+	return a
+}
+
+// crashCase is what happens to the entries while requests crash targets.
+type crashCase struct {
+	name string
+	// disturb runs once a number of targets have ended.
+	disturb func(c *crashRun)
+}
+
+var crashCases = []crashCase{
+	{"calm", func(*crashRun) {}},
+	{"all entries killed", func(c *crashRun) {
+		for _, e := range c.entries {
+			e.signal(syscall.SIGKILL)
+		}
+	}},
+	{"an entry paused, another one restarted", func(c *crashRun) {
+		c.entries[0].signal(syscall.SIGSTOP)
+		c.entries[1].signal(syscall.SIGKILL)
+		time.Sleep(crashWindow)
+		c.entries[0].signal(syscall.SIGCONT)
+	}},
+}
+
+// runDeadly sends deadly requests to the entries in turn for a time, one for each pause,
+// and sound ones beside them. From a number of crashes on, it disturbs the entries. It
+// returns how many of the sound requests were served that were sent later than twice
+// crashWindow after the last crash by then, and how many were sent.
+func (c *crashRun) runDeadly(tt crashCase, disturbAfter int, total, pause time.Duration, deadly, sound func(client *http.Client, e *soakEntry, n int) soakAttempt) (served, sent int) {
+	until := time.Now().Add(total)
+	var callers, disturbing sync.WaitGroup
+	disturbing.Go(func() {
+		for c.crashCount() < disturbAfter && time.Now().Before(until) {
+			time.Sleep(5 * time.Millisecond)
+		}
+		tt.disturb(c)
+	})
+	var servedCount, sentCount atomic.Int64
+	run := func(send func(client *http.Client, e *soakEntry, n int) soakAttempt, count bool) {
+		client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 8}}
+		defer client.CloseIdleConnections()
+		var requests sync.WaitGroup
+		for n := 0; time.Now().Before(until); n++ {
+			counts := count && time.Since(c.lastCrash()) > 2*crashWindow
+			requests.Go(func() {
+				a := send(client, c.entries[n%len(c.entries)], n)
+				if counts {
+					sentCount.Add(1)
+					if a.status == http.StatusOK && a.complete {
+						servedCount.Add(1)
+					}
+				}
+			})
+			time.Sleep(pause)
+		}
+		requests.Wait()
+	}
+	callers.Go(func() { run(deadly, false) })
+	callers.Go(func() { run(sound, true) })
+	callers.Wait()
+	disturbing.Wait()
+	return int(servedCount.Load()), int(sentCount.Load())
+}
+
+// lastCrash returns when a target ended last.
+func (c *crashRun) lastCrash() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.crashes) == 0 {
+		return time.Now()
+	}
+	return c.crashes[len(c.crashes)-1]
+}
+
+// TestRequestThatCrashesTargets repeats one request, which crashes its targets, at all
+// entries.
+func TestRequestThatCrashesTargets(t *testing.T) {
+	const toleratedCrashes = 3
+	for _, tt := range crashCases {
+		for _, stream := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, stream %v", tt.name, stream), func(t *testing.T) {
+				t.Parallel()
+				c := newCrashRun(t, func(_ *http.Request, body string) bool { return body == "deadly" })
+				served, sent := c.runDeadly(tt, 2, 22*time.Second, 60*time.Millisecond,
+					func(client *http.Client, e *soakEntry, _ int) soakAttempt {
+						return c.send(client, e, stream, "deadly", "")
+					},
+					func(client *http.Client, e *soakEntry, n int) soakAttempt {
+						return c.send(client, e, n%2 == 0, fmt.Sprint("sound ", n), "")
+					})
+				late, ended := c.lateArrivals(toleratedCrashes)
+				t.Logf("%d targets ended, %d late arrivals, %d of %d sound requests served", ended, late, served, sent)
+				c.c.Check(late <= maxLateArrivals, qt.IsTrue, qt.Commentf("%d late arrivals", late))
+				c.c.Check(sent > 0 && served*10 >= sent*9, qt.IsTrue, qt.Commentf("%d of %d sound requests served", served, sent))
+				c.checkLogs()
+			})
+		}
+	}
+}
--- a/cmd/standin/fleet.go
+++ b/cmd/standin/fleet.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -76,13 +77,15 @@
 	portCount = 12_000
 )
 
-var nextPort = rand.IntN(portCount)
+// nextPort is shared by tests that run in parallel.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(rand.Int64N(portCount)) }
 
 // freeAddress returns a loopback address on which nothing listens.
 func freeAddress() string {
 	for range portCount {
-		nextPort++
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort%portCount)
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
 		l, err := net.Listen("tcp", address)
 		if err == nil {
 			_ = l.Close()
--- a/internal/coordination/balance/entryshare.go
+++ b/internal/coordination/balance/entryshare.go
@@ -4,6 +4,8 @@
 	"math"
 
 	"github.com/cespare/xxhash/v2"
+
+	"bluebellcrank/internal/coordination/membership"
 )
 
 // entrySet is the set of entries that send to the same targets.
@@ -35,17 +37,7 @@
 // position returns the place of this entry in an order of the entries that is
 // different for each target.
 func (e entrySet) position(target string) int {
-	own := xxhash.Sum64String(target + "/" + e.self)
-	if len(e.names) == 0 {
-		return int(own % uint64(max(e.count, 1)))
-	}
-	ahead := 0
-	for _, name := range e.names {
-		if name != e.self && xxhash.Sum64String(target+"/"+name) < own {
-			ahead++
-		}
-	}
-	return ahead
+	return membership.Position(target, e.self, e.names, e.count)
 }
 
 // SetEntries sets the entries that send to the same targets, and the name of this
--- a/internal/state/instance/settings.go
+++ b/internal/state/instance/settings.go
@@ -65,6 +65,9 @@
 	// ColdRateAllowance is the number of requests per second that a cold target may
 	// get in addition to ColdRateFactor.
 	ColdRateAllowance float64
+	// StabilityWindow is how long after a fault an instance may still act on what it
+	// knew before.
+	StabilityWindow time.Duration
 	// StallTimeout is how long requests wait for a failed rank before they are
 	// aborted.
 	StallTimeout time.Duration
@@ -81,6 +84,7 @@
 		RetryAllowance:    20,
 		RetryWindow:       10 * time.Second,
 		ColdRateFactor:    1,
+		StabilityWindow:   3 * time.Second,
 		StallTimeout:      1500 * time.Millisecond,
 	}
 }
--- a/internal/state/refusal/explain.go
+++ b/internal/state/refusal/explain.go
@@ -28,6 +28,7 @@
 	PlatformDown:         "the platform did not record that the request runs at most once, or did not confirm the caller's key",
 	Cancelled:            "the entry cancelled the request before it ran",
 	Suspected:            "targets died while they ran this request",
+	Quarantined:          "targets died as they began to answer this request or requests like it",
 	ConnectionLost:       "the connection was lost after the request may have been sent",
 	AnswerLost:           "the target ran the request, but its answer is incomplete or no longer stored",
 	AlreadyAttempted:     "an earlier attempt with this Idempotency-Key may have run, and its answer is no longer available",
--- a/internal/state/refusal/refusal.go
+++ b/internal/state/refusal/refusal.go
@@ -39,6 +39,7 @@
 	PlatformDown         Reason = "platform-down"
 	Cancelled            Reason = "cancelled"
 	Suspected            Reason = "suspected"
+	Quarantined          Reason = "quarantined"
 	ConnectionLost       Reason = "connection-lost"
 	AnswerLost           Reason = "answer-lost"
 	AlreadyAttempted     Reason = "already-attempted"
--- a/internal/transport/gateway/entries.go
+++ b/internal/transport/gateway/entries.go
@@ -60,6 +60,7 @@
 			// A stale list would also lack the new registration.
 			reads = 0
 			g.setEntries(append(lo.Keys(list), g.settings.Name), max(len(list)+1, initialEntryCount))
+			g.quarantine.setEntries(append(lo.Keys(list), g.settings.Name), len(list)+1, g.entryAddresses(list))
 			if err := g.store.Register(ctx, g.settings.Name, g.settings.Address, g.settings.DataCentre); err == nil || errors.Is(err, platform.ErrConflict) {
 				if delay = housekeepingInterval; !justRegistered {
 					delay = 0 // the list has this entry now
@@ -82,7 +83,9 @@
 // reads is the number of reads since registration, this one included.
 func (g *Gateway) applyEntries(ctx context.Context, list map[string]platform.Entry, reads int, neighbour *membership.Neighbour) time.Duration {
 	g.setEntries(lo.Keys(list), len(list))
-	g.readRoutes.SetPeers(g.relayAddresses(list))
+	peers := g.entryAddresses(list)
+	g.readRoutes.SetPeers(peers)
+	g.quarantine.setEntries(lo.Keys(list), len(list), peers)
 	if reads == 1 {
 		return secondReadDelay
 	}
@@ -95,10 +98,10 @@
 	return entriesReadInterval
 }
 
-// relayAddresses returns the addresses at which the other entries of a list
-// relay store reads; the port is the same on all instances.
-func (g *Gateway) relayAddresses(list map[string]platform.Entry) []string {
-	var out []string
+// entryAddresses returns the addresses at which the other entries of a list accept
+// calls; the port is the same on all instances.
+func (g *Gateway) entryAddresses(list map[string]platform.Entry) []string {
+	out := []string{}
 	for name, e := range list {
 		if name != g.settings.Name {
 			out = append(out, net.JoinHostPort(e.Address, strconv.Itoa(g.settings.FirstPort)))
@@ -107,6 +110,15 @@
 	return out
 }
 
+// entriesHandler serves the calls of other entries.
+func (g *Gateway) entriesHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(pathQuarantine, g.quarantine.serveList)
+	mux.HandleFunc(pathQuarantineChanged, g.quarantine.serveNotice)
+	mux.HandleFunc("/", g.relayRead)
+	return mux
+}
+
 // relayRead relays another entry's read to the store. It refuses while this
 // entry's own reads go through another entry.
 func (g *Gateway) relayRead(w http.ResponseWriter, r *http.Request) {
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bluebellcrank/internal/coordination/balance"
+	"bluebellcrank/internal/coordination/quarantine"
 	"bluebellcrank/internal/state/event"
 	"bluebellcrank/internal/state/refusal"
 	"bluebellcrank/internal/state/routing"
@@ -52,6 +53,10 @@
 	hasResponseBegun bool
 	// firstByteAt is the time at which the response to the client began.
 	firstByteAt time.Time
+	// suspect is what the request is blamed for if its target ends.
+	suspect quarantine.Suspect
+	// hasAttemptBegun is set if the target has begun to answer the current attempt.
+	hasAttemptBegun bool
 	// attemptEvents counts the events that the current attempt has brought.
 	attemptEvents int
 	// longestGap is the longest time between consecutive events of one segment,
@@ -129,7 +134,7 @@
 // the target reports.
 func (x *exchange) send(ctx context.Context, lease *balance.Lease) (*upstream.Response, platform.Answer, error) {
 	t := lease.Target()
-	x.targetID, x.attemptEvents = t.ID, 0
+	x.targetID, x.attemptEvents, x.hasAttemptBegun = t.ID, 0, false
 	x.tried = append(x.tried, t.ID)
 	now := time.Now()
 	header := platform.ForwardHeader(x.request.Header, platform.TargetRequest{
@@ -158,7 +163,7 @@
 	if err != nil {
 		return nil, platform.Answer{}, err
 	}
-	x.reachedTarget = true
+	x.reachedTarget, x.hasAttemptBegun = true, true
 	info := platform.ReadAnswer(res.StatusCode, res.Header)
 	if info.Load != nil {
 		lease.RecordLoad(info.Load.Running, info.Load.Waiting, time.Now())
@@ -229,12 +234,16 @@
 	if x.hasResponseBegun {
 		firstByteDelay = x.firstByteAt.Sub(x.began)
 	}
-	event.RequestEnded.Log(g.log, "id", x.client.AttemptID, "route", route, "service", x.service,
+	fields := []any{"id", x.client.AttemptID, "route", route, "service", x.service,
 		"account", x.account, "target", x.targetID, "status", status, "reason", reason,
 		"sends", x.attempts, "uncertain", x.mayHaveRun, "deadline-ms", x.client.Timeout.Milliseconds(), "first-ms", firstByteDelay.Milliseconds(),
 		"longest-pause-ms", x.longestGap.Milliseconds(),
 		"total-ms", time.Since(x.began).Milliseconds(), "config", version,
-		"proof-age-ms", g.follower.ConfirmationAge(process.BootTime()).Milliseconds())
+		"proof-age-ms", g.follower.ConfirmationAge(process.BootTime()).Milliseconds()}
+	if reason == string(refusal.Quarantined) {
+		fields = append(fields, "keys", keyNames(x.suspect))
+	}
+	event.RequestEnded.Log(g.log, fields...)
 }
 
 // retryDelay returns a random delay between minimum and maximum, so that refused
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,6 +79,7 @@
 	pool            *upstream.Pool
 	metrics         *entryMetrics
 	clients         *clientConns
+	quarantine      *quarantineList
 
 	traffic *http.Server
 	// trafficListener accepts the connections of clients until the entry stops.
@@ -151,6 +153,7 @@
 		retryDetectors: map[string]*balance.RetryDetector{},
 		stop:           stop,
 	}
+	g.quarantine = newQuarantineList(settings.Name, net.JoinHostPort(settings.Address, strconv.Itoa(settings.FirstPort)), g.store, log)
 	g.fleet.SetChoice(options.Choice)
 	g.bounds.Store(&settings.Bounds)
 	g.setEntries(nil, initialEntryCount)
@@ -161,7 +164,7 @@
 		SetOutOfService: g.fleet.SetDataCentresOut,
 	}, g.limits, log)
 	g.ready = &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout}
-	g.relay = &http.Server{Handler: http.HandlerFunc(g.relayRead), ReadHeaderTimeout: headerTimeout}
+	g.relay = &http.Server{Handler: g.entriesHandler(), ReadHeaderTimeout: headerTimeout}
 	g.traffic = &http.Server{
 		Handler:           http.HandlerFunc(g.serve),
 		ReadHeaderTimeout: headerTimeout,
@@ -178,6 +181,10 @@
 	g.background.Go(func() { process.Every(housekeepingInterval, ctx.Done(), g.housekeep) })
 	g.background.Go(func() { g.maintainEntries(ctx) })
 	g.background.Go(func() { g.pollSlowdowns(ctx) })
+	g.background.Go(func() { g.quarantine.syncStore(ctx) })
+	g.background.Go(func() { g.quarantine.exchangeRegularly(ctx, g.quarantineExchangeInterval) })
+	g.background.Go(func() { g.quarantine.followNotices(ctx) })
+	g.background.Go(func() { g.quarantine.tellChanges(ctx) })
 	g.background.Go(func() { process.Every(settingsPollInterval, ctx.Done(), func(time.Time) { g.Reload() }) })
 	if listeners.Operator != nil {
 		process.NewOperatorServer(listeners.Operator, metricSet, process.NewOperatorCallbacks(g.isReady, g.dump))
@@ -195,6 +202,12 @@
 	}
 }
 
+// quarantineExchangeInterval returns the time between two regular exchanges of the
+// quarantine list under the settings in force.
+func (g *Gateway) quarantineExchangeInterval() time.Duration {
+	return g.bounds.Load().StabilityWindow / exchangesPerWindow
+}
+
 // Reload reads the settings file and applies its bounds. The last valid bounds
 // stay in force while the file is invalid.
 func (g *Gateway) Reload() {
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -13,6 +13,8 @@
 	retries           *metrics.Counter
 	streamsResumed    *metrics.Counter
 	relayedReads      *metrics.Counter
+	targetsEnded      *metrics.Counter
+	quarantined       *metrics.Counter
 	queueTime         *metrics.Histogram
 	firstByteTime     *metrics.Histogram
 	eventGap          *metrics.Histogram
@@ -27,6 +29,8 @@
 		retries:           set.NewCounter("bluebellcrank_repeated_sends_total"),
 		streamsResumed:    set.NewCounter("bluebellcrank_streams_resumed_total"),
 		relayedReads:      set.NewCounter("bluebellcrank_store_reads_passed_on_total"),
+		targetsEnded:      set.NewCounter("bluebellcrank_attempts_whose_target_ended_total"),
+		quarantined:       set.NewCounter("bluebellcrank_requests_quarantined_total"),
 		queueTime:         set.NewHistogram("bluebellcrank_queue_seconds"),
 		firstByteTime:     set.NewHistogram("bluebellcrank_first_byte_seconds"),
 		eventGap:          set.NewHistogram("bluebellcrank_event_pause_seconds"),
--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -56,6 +56,11 @@
 			x.refuse(reason, retryDelay(minRetryDelay, maxRetryDelay))
 			return
 		}
+		if wait := x.quarantineWait(); wait > 0 {
+			lease.Done(balance.Abandoned, 0, now)
+			x.refuse(refusal.Quarantined, wait)
+			return
+		}
 		a, retry, reason := x.tryTarget(ctx, lease)
 		if a != nil {
 			x.forwardAnswer(a)
@@ -144,6 +149,7 @@
 		res.Close(now)
 	}
 	lease.Done(balance.Answered, now.Sub(began), now)
+	x.recordProof()
 	if a.status >= 500 && x.route.Kind == routing.Idempotent && x.attempts < x.route.MaxTargets && a.remainder == nil {
 		if better := x.tryAnotherTarget(ctx, now); better != nil {
 			return better, false, ""
@@ -162,7 +168,7 @@
 	if lease == nil {
 		return nil
 	}
-	if !lease.IsUsable() || x.checkKey() != "" {
+	if !lease.IsUsable() || x.checkKey() != "" || x.quarantineWait() > 0 {
 		lease.Done(balance.Abandoned, 0, now)
 		return nil
 	}
@@ -193,10 +199,10 @@
 // that its client cancelled, or that moves to another target because the rank
 // group is stalled or slowed down, does not count against the target.
 func (x *exchange) targetFailed(lease *balance.Lease, err error) {
-	ended := x.hasEnded(lease, err)
+	ended := x.recordEnd(lease, err)
 	event.AttemptFailed.Log(x.gateway.log, "id", x.client.AttemptID, "target", lease.Target().ID,
 		"error", err.Error(), "may-have-run", x.mayHaveRun, "events", x.attemptEvents, "target-ended", ended,
-		"prompt-parts", strings.Join(x.client.PromptParts, ","))
+		"prompt-parts", strings.Join(x.client.PromptParts, ","), "keys", keyNames(x.suspect))
 	if x.request.Context().Err() != nil || errors.Is(err, errStalled) || errors.Is(err, errSlow) {
 		lease.Done(balance.Abandoned, 0, time.Now())
 		return
@@ -205,17 +211,6 @@
 	lease.Done(balance.Failed, 0, time.Now())
 }
 
-// hasEnded reports whether the target of a failed attempt has ended, so that this
-// request may be the cause: the target broke the connection before the answer began,
-// and refuses new ones. A target that is cut off refuses none, and one that lives
-// accepts them.
-func (x *exchange) hasEnded(lease *balance.Lease, err error) bool {
-	if x.attemptEvents > 0 || !x.mayHaveRun || !upstream.IsBrokenByTarget(err) {
-		return false
-	}
-	return x.gateway.pool.IsRefused(x.request.Context(), lease.Target().Address)
-}
-
 // targetRefused ends the lease of a target that did not run the request.
 func (x *exchange) targetRefused(lease *balance.Lease, res *upstream.Response, info platform.Answer) {
 	res.DiscardBody()
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -48,6 +48,12 @@
 		}
 		x.setDeadline(now)
 	}
+	x.suspect = x.newSuspect()
+	if wait := g.quarantine.wait(x.suspect, process.BootTime()); wait > 0 {
+		g.metrics.quarantined.Inc()
+		x.refuse(refusal.Quarantined, wait)
+		return
+	}
 	x.latencyGoal = now.Add(x.route.FirstByteGoal)
 	x.isRepeated = g.recordDeadline(x.route.Name, x.client.Timeout) || x.client.LastEventID != ""
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -41,6 +41,14 @@
 			x.refuse(reason, retryDelay(minRetryDelay, maxRetryDelay))
 			return
 		}
+		if wait := x.quarantineWait(); wait > 0 {
+			lease.Done(balance.Abandoned, 0, now)
+			if x.hasResponseBegun {
+				x.abortStream(ctx, fmt.Errorf("the stream is not resumed: %s", refusal.Quarantined))
+			}
+			x.refuse(refusal.Quarantined, wait)
+			return
+		}
 		ended, reason, err := x.serveSegment(ctx, lease)
 		if ended {
 			return
@@ -102,6 +110,7 @@
 		res.MarkBodyRead()
 		res.Close(now)
 		lease.Done(balance.Answered, 0, now)
+		x.recordProof()
 		x.finish(http.StatusOK, "")
 		return true, "", nil
 	}
@@ -192,7 +201,9 @@
 		// A stalled target may still send comments that keep the connection open.
 		if !events.isEmpty {
 			stallTimer.Reset(stallCheckDelay)
-			x.attemptEvents++
+			if x.attemptEvents++; x.attemptEvents == provenEvents {
+				x.recordProof()
+			}
 			x.recordEvent(lease, lastEventAt, now)
 			lastEventAt = now
 		}
