A pause of the entry does not count as slow targets

What callers saw: 10 s after an entry's process had been paused for 3 s, it refused up to all new streams with "full" for some 20 s, though its targets were idle. Found by the test of crashing prompt parts that pauses an entry.

Cause: the first gap between two events after the pause, 3 s long, went into the estimate of the group's step time. Its peak decays more slowly than its mean, and the admission limit is lowered by their ratio, so it is lowest some 10 s later. The class: a time that is measured across one's own absence.

A watch that ticks every 100 ms tells whether the process stood still since the previous event; such a gap is not recorded.

--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -80,6 +80,7 @@
 	metrics         *entryMetrics
 	clients         *clientConns
 	quarantine      *quarantineList
+	pauses          *process.PauseWatch
 
 	traffic *http.Server
 	// trafficListener accepts the connections of clients until the entry stops.
@@ -151,6 +152,7 @@
 		retryBudgets:   map[string]*retry.Share{},
 		outages:        map[string]*balance.Outage{},
 		retryDetectors: map[string]*balance.RetryDetector{},
+		pauses:         process.NewPauseWatch(time.Now()),
 		stop:           stop,
 	}
 	g.quarantine = newQuarantineList(settings.Name, net.JoinHostPort(settings.Address, strconv.Itoa(settings.FirstPort)), g.store, log)
@@ -179,6 +181,7 @@
 		g.serveListener(g.traffic, &clientListener{Listener: g.trafficListener, clients: g.clients})
 	})
 	g.background.Go(func() { process.Every(housekeepingInterval, ctx.Done(), g.housekeep) })
+	g.background.Go(func() { process.Every(process.PauseWatchInterval, ctx.Done(), g.pauses.Tick) })
 	g.background.Go(func() { g.maintainEntries(ctx) })
 	g.background.Go(func() { g.pollSlowdowns(ctx) })
 	g.background.Go(func() { g.quarantine.syncStore(ctx) })
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -224,14 +224,18 @@
 }
 
 // recordEvent records an event of a stream and the time since the previous one, if
-// there is one.
+// there is one and this process ran all the while.
 func (x *exchange) recordEvent(lease *balance.Lease, previous, now time.Time) {
 	if previous.IsZero() {
 		lease.RecordEvent(0, now)
 		return
 	}
 	gap := now.Sub(previous)
-	lease.RecordEvent(gap, now)
+	if x.gateway.pauses.HasPaused(previous, now) {
+		lease.RecordEvent(0, now)
+	} else {
+		lease.RecordEvent(gap, now)
+	}
 	x.gateway.metrics.eventGap.Update(gap.Seconds())
 	x.longestGap = max(x.longestGap, gap)
 }
