A part of prompts that crashes targets is quarantined

Cause: as for single requests, nobody counted; besides, no two of these requests are alike, so that the whole request is the wrong thing to count.

A crash now blames the parts of the prompt as well, but for the last one, which is the request's own. Parts that a target has answered are blamed only if there is no other; a part that was never answered is quarantined after one crash just as the answer began, one that was after two. If two unproven parts are blamed for the same crash, a request with one of them alone is tried after a second: the guilty part is mostly in the company of the innocent one.

--- a/cmd/standin/crash_test.go
+++ b/cmd/standin/crash_test.go
@@ -262,6 +262,7 @@
 // TestRequestThatCrashesTargets repeats one request, which crashes its targets, at all
 // entries.
 func TestRequestThatCrashesTargets(t *testing.T) {
+	t.Parallel()
 	const toleratedCrashes = 3
 	for _, tt := range crashCases {
 		for _, stream := range []bool{false, true} {
@@ -284,3 +285,29 @@
 		}
 	}
 }
+
+// TestPromptPartThatCrashesTargets sends requests to all entries of which no two are
+// alike, but one part of the prompt crashes their targets. Sound requests share the
+// first part.
+func TestPromptPartThatCrashesTargets(t *testing.T) {
+	t.Parallel()
+	const toleratedCrashes = 5
+	for _, tt := range crashCases {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCrashRun(t, func(r *http.Request, _ string) bool { return strings.Contains(r.Header.Get("Prompt-Prefix"), "deadly") })
+			served, sent := c.runDeadly(tt, 1, 22*time.Second, 60*time.Millisecond,
+				func(client *http.Client, e *soakEntry, n int) soakAttempt {
+					return c.send(client, e, true, fmt.Sprint("tainted ", n), fmt.Sprintf("head:40,deadly:20,own-%d:600", n))
+				},
+				func(client *http.Client, e *soakEntry, n int) soakAttempt {
+					return c.send(client, e, true, fmt.Sprint("sound ", n), fmt.Sprintf("head:40,part-%d:20,own-%d:600", n, n))
+				})
+			late, ended := c.lateArrivals(toleratedCrashes)
+			t.Logf("%d targets ended, %d late arrivals, %d of %d sound requests served", ended, late, served, sent)
+			c.c.Check(late <= maxLateArrivals, qt.IsTrue, qt.Commentf("%d late arrivals", late))
+			c.c.Check(sent > 0 && served*10 >= sent*9, qt.IsTrue, qt.Commentf("%d of %d sound requests served", served, sent))
+			c.checkLogs()
+		})
+	}
+}
--- a/internal/coordination/quarantine/list.go
+++ b/internal/coordination/quarantine/list.go
@@ -3,18 +3,26 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 )
 
 // Key identifies what may crash targets.
 type Key uint64
 
-// Suspect is what may be blamed for the end of a target.
+// PartKey returns the key of a part of prompts, for the targets of one service.
+func PartKey(service, part string) Key { return Key(xxhash.Sum64String(service + "\x00" + part)) }
+
+// Suspect is what one request may be blamed for: itself, and the parts of its prompt
+// that other requests share.
 type Suspect struct {
 	Request Key
+	Parts   []Key
 }
 
 // Keys returns all keys of the request.
-func (s Suspect) Keys() []Key { return []Key{s.Request} }
+func (s Suspect) Keys() []Key { return append([]Key{s.Request}, s.Parts...) }
 
 // RecordLifetime is how long a key is remembered after its last crash.
 const RecordLifetime = 2 * time.Hour
@@ -34,6 +42,7 @@
 // concurrent use.
 type List struct {
 	records map[Key]*record
+	proven  provenKeys
 	// version increases with each change that other entries should know.
 	version uint64
 }
@@ -43,13 +52,20 @@
 
 // RecordCrash records that a target ended while it had a request that it had begun to
 // answer (hasBegun) or not, and of which hardly any of the answer was passed on.
+//
+// If a part of the prompt was never answered, the parts that were are not blamed.
 func (l *List) RecordCrash(s Suspect, hasBegun bool, now time.Duration) Changes {
+	parts := slices.DeleteFunc(slices.Clone(s.Parts), l.isProven)
+	if len(parts) == 0 {
+		parts = s.Parts
+	}
 	c := crash{at: now, weight: weakWeight}
 	if hasBegun {
 		c.weight = strongWeight
 	}
-	var out Changes
-	for _, k := range s.Keys() {
+	out := l.update(s.Request, now, func(r *record) bool { return r.addCrash(c) })
+	for _, k := range parts {
+		c.companions = lo.Without(parts, k)
 		out = out.and(l.update(k, now, func(r *record) bool { return r.addCrash(c) }))
 	}
 	return out
@@ -57,6 +73,9 @@
 
 // RecordAnswer records that a target answered a request and did not end.
 func (l *List) RecordAnswer(s Suspect, now time.Duration) Changes {
+	for _, k := range s.Parts {
+		l.proven.add(k, now)
+	}
 	var out Changes
 	for _, k := range s.Keys() {
 		if l.records[k] != nil {
@@ -110,9 +129,10 @@
 // key. A request that is to be sent as a trial must be sent at once.
 func (l *List) Check(s Suspect, position func(Key) int, now time.Duration) time.Duration {
 	wait := time.Duration(0)
+	isOnlyPart := lo.CountBy(s.Parts, l.IsQuarantined) == 1
 	for _, k := range s.Keys() {
 		if r := l.records[k]; r != nil && r.isQuarantined() {
-			due := max(r.trialDueAt()+time.Duration(position(k))*trialStagger, r.trialAt+trialTimeout)
+			due := max(r.trialDueAt(isOnlyPart && l.isAmbiguous(r))+time.Duration(position(k))*trialStagger, r.trialAt+trialTimeout)
 			wait = max(wait, due-now)
 		}
 	}
@@ -148,6 +168,20 @@
 	return r != nil && r.isQuarantined()
 }
 
+// isAmbiguous reports whether another key may be to blame for all crashes of a record. The
+// guilty one is mostly in the company of the innocent one, and not the reverse.
+func (l *List) isAmbiguous(r *record) bool {
+	return slices.ContainsFunc(r.companions(), func(k Key) bool { return !l.isProven(k) })
+}
+
+// isProven reports whether a target has answered a request with the key.
+func (l *List) isProven(k Key) bool {
+	if r := l.records[k]; r != nil && r.provenAt > 0 {
+		return true
+	}
+	return l.proven.at(k) > 0
+}
+
 // recordOf returns the record of a key, and adds one if there is none.
 func (l *List) recordOf(k Key, now time.Duration) *record {
 	r := l.records[k]
@@ -155,7 +189,7 @@
 		if len(l.records) >= maxRecords {
 			l.evict(now)
 		}
-		r = &record{}
+		r = &record{provenAt: l.proven.at(k)}
 		l.records[k] = r
 	}
 	return r
--- a/internal/coordination/quarantine/record.go
+++ b/internal/coordination/quarantine/record.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 const (
@@ -27,8 +29,8 @@
 )
 
 // The times after a crash until a quarantined key is tried again, by the number of
-// crashes; the last one applies to all further crashes. A key that a target
-// has answered before is tried sooner.
+// crashes; the last one applies to all further crashes. A key that is probably blamed
+// wrongly is tried sooner.
 var (
 	trialDelays      = []time.Duration{10 * time.Second, time.Minute, 10 * time.Minute, time.Hour}
 	earlyTrialDelays = []time.Duration{time.Second, time.Second, 10 * time.Second, time.Minute, 10 * time.Minute, time.Hour}
@@ -40,6 +42,9 @@
 	// later it may have been: reports of other entries are under way for a while.
 	at, spread time.Duration
 	weight     int
+	// companions are the other keys that may be to blame instead, such as other parts of
+	// the same prompt.
+	companions []Key
 }
 
 // coincides reports whether two crashes may have been at the same moment.
@@ -69,11 +74,18 @@
 	for n := range r.crashes {
 		known := &r.crashes[n]
 		if known.coincides(c) {
-			changed := c.weight > known.weight
+			companions := known.companions
+			switch {
+			case c.weight > known.weight:
+				companions = c.companions
+			case c.weight == known.weight:
+				companions = lo.Intersect(companions, c.companions)
+			}
+			changed := c.weight > known.weight || len(companions) < len(known.companions)
 			if c.spread < known.spread {
 				known.at, known.spread = c.at, c.spread
 			}
-			known.weight = max(known.weight, c.weight)
+			known.weight, known.companions = max(known.weight, c.weight), companions
 			return changed
 		}
 	}
@@ -120,10 +132,23 @@
 	return weight >= unprovenThreshold
 }
 
-// trialDueAt returns from when a quarantined key is tried again.
-func (r *record) trialDueAt() time.Duration {
+// companions returns the keys that may be to blame instead for all crashes.
+func (r *record) companions() []Key {
+	if len(r.crashes) == 0 {
+		return nil
+	}
+	out := r.crashes[0].companions
+	for _, c := range r.crashes[1:] {
+		out = lo.Intersect(out, c.companions)
+	}
+	return out
+}
+
+// trialDueAt returns from when a quarantined key is tried again; it is tried early if it
+// is probably blamed wrongly.
+func (r *record) trialDueAt(isEarly bool) time.Duration {
 	delays := trialDelays
-	if r.provenAt > 0 {
+	if isEarly || r.provenAt > 0 {
 		delays = earlyTrialDelays
 	}
 	return r.lastCrash() + delays[min(len(r.crashes), len(delays))-1]
--- a/internal/coordination/quarantine/report.go
+++ b/internal/coordination/quarantine/report.go
@@ -9,6 +9,8 @@
 const (
 	// maxReports bounds the keys that one entry reports to another.
 	maxReports = 512
+	// maxCompanions bounds the companions that are accepted with one crash.
+	maxCompanions = 32
 	// answerReportPeriod is how long an answer that ended a suspicion is reported.
 	answerReportPeriod = 30 * time.Second
 )
@@ -28,6 +30,8 @@
 	// SpreadMs is how much shorter the age may be.
 	SpreadMs int64 `json:"spread-ms,omitempty"`
 	Weight   int   `json:"weight"`
+	// Companions are the keys that may be to blame instead.
+	Companions []Key `json:"companions,omitempty"`
 }
 
 // AsOf returns the report as of a time that is later by elapsed, give or take inaccuracy.
@@ -55,7 +59,7 @@
 		out.AnswerAgeMs = inMs(now - r.provenAt)
 	}
 	for _, c := range r.crashes {
-		out.Crashes = append(out.Crashes, CrashReport{AgeMs: inMs(now - c.at), SpreadMs: inMs(c.spread), Weight: c.weight})
+		out.Crashes = append(out.Crashes, CrashReport{AgeMs: inMs(now - c.at), SpreadMs: inMs(c.spread), Weight: c.weight, Companions: c.companions})
 	}
 	return out
 }
@@ -103,8 +107,9 @@
 		received := crash{
 			at: askedAt - milliseconds(max(c.AgeMs, 0)),
 			// The age is rounded up.
-			spread: now - askedAt + milliseconds(max(c.SpreadMs, 0)) + time.Millisecond,
-			weight: min(max(c.Weight, weakWeight), strongWeight),
+			spread:     now - askedAt + milliseconds(max(c.SpreadMs, 0)) + time.Millisecond,
+			weight:     min(max(c.Weight, weakWeight), strongWeight),
+			companions: c.Companions[:min(len(c.Companions), maxCompanions)],
 		}
 		changed = r.addCrash(received) || changed
 	}
--- a/internal/transport/gateway/quarantine.go
+++ b/internal/transport/gateway/quarantine.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/samber/lo"
+
 	"bluebellcrank/internal/coordination/balance"
 	"bluebellcrank/internal/coordination/quarantine"
 	"bluebellcrank/internal/coordination/retry"
@@ -16,9 +18,16 @@
 
 // newSuspect returns what the request is blamed for if its target ends.
 func (x *exchange) newSuspect() quarantine.Suspect {
-	return quarantine.Suspect{
+	s := quarantine.Suspect{
 		Request: quarantine.Key(retry.Fingerprint(x.account, x.route.Host, x.request.Method, x.request.RequestURI, x.body)),
 	}
+	// The last part is the request's or its session's own.
+	if parts := x.client.PromptParts; len(parts) > 1 {
+		s.Parts = lo.Map(lo.Uniq(parts[:len(parts)-1]), func(part string, _ int) quarantine.Key {
+			return quarantine.PartKey(x.service, part)
+		})
+	}
+	return s
 }
 
 // quarantineWait returns how much longer the request must not be sent to a target. If
