A target that announces its leaving in an answer gets no new requests

What callers saw: nothing yet; the rule is new (DRAIN, header Server-Leaving). An entry that the store does not answer, or whose list of targets lags, went on sending to a target that had said in each of its answers that it is leaving, and would end.

Cause: the list of targets was the only source of a target's state.

What a target says in an answer, a refusal or the head of a stream now goes before the list: it gets no further request from this entry, also if it is listed as serving, or is gone from the list and back. Idle connections to it are closed. 3010 logs it once.

--- a/internal/coordination/balance/dump.go
+++ b/internal/coordination/balance/dump.go
@@ -28,7 +28,7 @@
 			Service:    m.target.Service,
 			DataCentre: m.target.DataCentre,
 			Group:      m.group.name,
-			Leaving:    m.target.Leaving,
+			Leaving:    m.isLeaving(),
 			InFlight:   m.inFlight,
 			Failures:   m.failures,
 			StepTimeMs: m.group.stepTime.mean.Milliseconds(),
--- a/internal/coordination/balance/fleet.go
+++ b/internal/coordination/balance/fleet.go
@@ -95,6 +95,8 @@
 	entries        entrySet
 	// fallbacks is keyed by service.
 	fallbacks map[string]fallbackTarget
+	// notices is keyed by target ID.
+	notices map[string]*notice
 }
 
 // NewFleet returns a fleet without targets.
@@ -107,6 +109,7 @@
 		dataCentresOut: map[string]bool{},
 		grantIntervals: map[string]*grantInterval{},
 		fallbacks:      map[string]fallbackTarget{},
+		notices:        map[string]*notice{},
 	}
 }
 
@@ -161,6 +164,7 @@
 		f.services[t.Service] = append(f.services[t.Service], m)
 	}
 	m.target = t
+	f.linkNotice(m)
 	name := t.Group
 	if name == "" {
 		name = t.Service
@@ -289,7 +293,7 @@
 	defer f.mu.Unlock()
 	var out []fleet.Target
 	for _, m := range f.members {
-		if m.target.Group != "" && m.group.isOverGoal(now) {
+		if m.target.Group != "" && m.isUsable(f.dataCentresOut) && m.group.isOverGoal(now) {
 			out = append(out, m.target)
 		}
 	}
--- a/internal/coordination/balance/fleet_test.go
+++ b/internal/coordination/balance/fleet_test.go
@@ -81,6 +81,59 @@
 	c.Check(l.IsUsable(), qt.IsFalse)
 }
 
+// TestTargetThatAnnouncedLeaving changes the list of targets after a target has said
+// itself that it is leaving. The list may be older than that.
+func TestTargetThatAnnouncedLeaving(t *testing.T) {
+	listed := fleet.Target{ID: "a", Service: "bells", StartedAtMs: 100}
+	restarted := listed
+	restarted.StartedAtMs = 200
+	tests := []struct {
+		name   string
+		change func(f *Fleet)
+		want   Verdict
+	}{
+		{"no change", func(*Fleet) {}, NoTarget},
+		{"listed as serving", func(f *Fleet) { f.Replace([]fleet.Target{listed}, start) }, NoTarget},
+		{"gone from the list, and back", func(f *Fleet) {
+			f.Replace(nil, start)
+			f.ApplyChanges([]fleet.Change{{ID: listed.ID, Target: &listed}}, start)
+		}, NoTarget},
+		{"started again under the same ID", func(f *Fleet) { f.Replace([]fleet.Target{restarted}, start) }, Granted},
+	}
+	for _, tt := range tests {
+		for _, isGone := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, gone when it answers: %v", tt.name, isGone), func(t *testing.T) {
+				c := qt.New(t)
+				f := newTestFleet([]fleet.Target{listed})
+				l, _ := f.Pick(Request{Service: "bells"}, start)
+				if isGone {
+					f.Replace(nil, start)
+				}
+				c.Check(l.RecordLeaving(), qt.IsTrue)
+				c.Check(l.RecordLeaving(), qt.IsFalse)
+				c.Check(l.IsUsable(), qt.IsFalse)
+				if isGone {
+					f.Replace([]fleet.Target{listed}, start)
+				}
+				tt.change(f)
+				_, got := f.Pick(Request{Service: "bells"}, start)
+				c.Check(got, qt.Equals, tt.want)
+			})
+		}
+	}
+}
+
+// TestNoticesAreBounded has many targets say that they are leaving and go.
+func TestNoticesAreBounded(t *testing.T) {
+	f := newTestFleet(nil)
+	for n := range 2 * maxNotices {
+		f.Replace([]fleet.Target{{ID: fmt.Sprint(n), Service: "bells"}}, start)
+		l, _ := f.Pick(Request{Service: "bells"}, start)
+		l.RecordLeaving()
+	}
+	qt.Assert(t, len(f.notices) <= maxNotices+1, qt.IsTrue, qt.Commentf("%d notices", len(f.notices)))
+}
+
 // TestStalledGroupGetsOnlyProbes checks that a rank group whose streams stop
 // getting events gets only probes, while the other group stays in use.
 func TestStalledGroupGetsOnlyProbes(t *testing.T) {
--- a/internal/coordination/balance/member.go
+++ b/internal/coordination/balance/member.go
@@ -43,6 +43,8 @@
 	target  fleet.Target
 	group   *group
 	removed bool
+	// notice is what the target has said of itself in answers; nil for nothing.
+	notice *notice
 	// inFlight is the number of requests in flight from this entry.
 	inFlight int
 	// othersInFlight is the number of requests in flight from other entries, as
@@ -79,7 +81,12 @@
 // isUsable reports whether the target is listed and not leaving, and its data
 // centre is in service.
 func (m *member) isUsable(dataCentresOut map[string]bool) bool {
-	return !m.removed && !m.target.Leaving && !dataCentresOut[m.target.DataCentre]
+	return !m.removed && !m.isLeaving() && !dataCentresOut[m.target.DataCentre]
+}
+
+// isLeaving reports whether the target is leaving, by the list or by its own word.
+func (m *member) isLeaving() bool {
+	return m.target.Leaving || m.notice != nil && m.notice.isLeaving
 }
 
 // isSuspended reports whether the target gets no request after failures or a
--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -74,6 +74,7 @@
 	QuarantineNotExchanged   = declare(2106, hclog.Info, "quarantine list of another entry could not be read, or the entry not told")
 	QuarantineNotStored      = declare(2107, hclog.Warn, "quarantined keys could not be read from the store or written to it")
 	AttemptFailed            = declare(2102, hclog.Info, "attempt at a target failed")
+	TargetAnnouncedLeaving   = declare(3010, hclog.Info, "target announced in an answer that it is leaving: it gets no new requests")
 	EngineSlow               = declare(3007, hclog.Info, "engine reports a slowdown")
 	SwitchStarted            = declare(3205, hclog.Info, "change of the expert map started")
 	SwitchEnded              = declare(3206, hclog.Info, "change of the expert map ended")
--- a/internal/state/fleet/target.go
+++ b/internal/state/fleet/target.go
@@ -6,10 +6,13 @@
 // platform, whose adapter sets the fields.
 type Target struct {
 	// ID identifies one run of the server.
-	ID         string
-	Service    string
-	Address    string
-	DataCentre string
+	ID string
+	// StartedAtMs is when this run started, in Unix milliseconds; 0 if not stated. A
+	// server may start again under the same ID.
+	StartedAtMs int64
+	Service     string
+	Address     string
+	DataCentre  string
 	// Slots is the number of requests that the target processes concurrently.
 	Slots int
 	// Leaving is set for a target that accepts no new requests.
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -165,6 +165,10 @@
 	}
 	x.reachedTarget, x.hasAttemptBegun = true, true
 	info := platform.ReadAnswer(res.StatusCode, res.Header)
+	if info.Leaving && lease.RecordLeaving() {
+		event.TargetAnnouncedLeaving.Log(x.gateway.log, "id", x.client.AttemptID, "target", t.ID)
+		x.gateway.pool.CloseIdle(t.Address)
+	}
 	if info.Load != nil {
 		lease.RecordLoad(info.Load.Running, info.Load.Waiting, time.Now())
 	}
