A target that asks for a pause gets none of the entry's requests meanwhile

An entry sent to such a target again after 0.1 s.

Cause: every refusal was answered by the same short suspension.

The time is kept with the target's other notices, so that it outlasts an absence from the list, up to an hour; values that are no positive number count as not stated.

--- a/internal/coordination/balance/fleet.go
+++ b/internal/coordination/balance/fleet.go
@@ -293,7 +293,7 @@
 	defer f.mu.Unlock()
 	var out []fleet.Target
 	for _, m := range f.members {
-		if m.target.Group != "" && m.isUsable(f.dataCentresOut) && m.group.isOverGoal(now) {
+		if m.target.Group != "" && m.isUsable(f.dataCentresOut) && m.notice.backoffRemaining(now) == 0 && m.group.isOverGoal(now) {
 			out = append(out, m.target)
 		}
 	}
--- a/internal/coordination/balance/fleet_test.go
+++ b/internal/coordination/balance/fleet_test.go
@@ -123,6 +123,36 @@
 	}
 }
 
+// TestTargetThatAsksForAPause checks when a target that refused a request with a time
+// gets requests again, also if it goes from the list and comes back.
+func TestTargetThatAsksForAPause(t *testing.T) {
+	c := qt.New(t)
+	listed := fleet.Target{ID: "a", Service: "bells", StartedAtMs: 100}
+	f := newTestFleet([]fleet.Target{listed})
+	now := start
+	l, _ := f.Pick(Request{Service: "bells"}, now)
+	l.RecordBackoff(3*time.Second, now)
+	l.Done(Refused, 0, now)
+	l.RecordBackoff(time.Second, now) // a shorter time does not end the longer one
+	for _, relisted := range []bool{false, true} {
+		if relisted {
+			f.Replace(nil, now)
+			f.Replace([]fleet.Target{listed}, now)
+		}
+		now = now.Add(1450 * time.Millisecond)
+		_, verdict := f.Pick(Request{Service: "bells"}, now)
+		c.Check(verdict, qt.Equals, NoTarget)
+		c.Check(f.BackoffRemaining("bells", now), qt.Equals, start.Add(3*time.Second).Sub(now))
+	}
+	other := fleet.Target{ID: "b", Service: "bells"}
+	f.Replace([]fleet.Target{listed, other}, now)
+	c.Check(f.BackoffRemaining("bells", now), qt.Equals, time.Duration(0))
+	f.Replace([]fleet.Target{listed}, now)
+	now = start.Add(3 * time.Second)
+	_, verdict := f.Pick(Request{Service: "bells"}, now)
+	c.Check(verdict, qt.Equals, Granted)
+}
+
 // TestNoticesAreBounded has many targets say that they are leaving and go.
 func TestNoticesAreBounded(t *testing.T) {
 	f := newTestFleet(nil)
--- a/internal/coordination/balance/member.go
+++ b/internal/coordination/balance/member.go
@@ -90,10 +90,10 @@
 }
 
 // isSuspended reports whether the target gets no request after failures or a
-// refusal. When the suspension for a failure ends, one request at a time probes
+// refusal, or because it asked for a pause. When the suspension for a failure ends, one request at a time probes
 // the target until it responds.
 func (m *member) isSuspended(now time.Time) bool {
-	return now.Before(m.suspendedUntil) || m.failures > 0 && m.inFlight > 0
+	return now.Before(m.suspendedUntil) || m.notice.backoffRemaining(now) > 0 || m.failures > 0 && m.inFlight > 0
 }
 
 // isSlow reports whether the engine's recent report states a slowdown above the
--- a/internal/coordination/balance/notice.go
+++ b/internal/coordination/balance/notice.go
@@ -1,5 +1,7 @@
 package balance
 
+import "time"
+
 // maxNotices bounds the notices of targets that are not listed.
 const maxNotices = 4096
 
@@ -10,6 +12,8 @@
 	startedAtMs int64
 	// isLeaving is set once the target is leaving.
 	isLeaving bool
+	// backoffUntil is when the target accepts requests of this entry again.
+	backoffUntil time.Time
 }
 
 // RecordLeaving records that the target said that it is leaving. It gets no further
@@ -23,6 +27,14 @@
 	return isNew
 }
 
+// RecordBackoff records that the target wants no request of this entry for a time.
+func (l *Lease) RecordBackoff(backoff time.Duration, now time.Time) {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	n := l.fleet.noticeOf(l)
+	n.backoffUntil = later(n.backoffUntil, now.Add(backoff))
+}
+
 // noticeOf returns the notice of a lease's target, and adds one if there is none.
 func (f *Fleet) noticeOf(l *Lease) *notice {
 	id := l.target.ID
@@ -57,3 +69,32 @@
 		m.notice = nil
 	}
 }
+
+// backoffRemaining returns how much longer the target wants no requests.
+func (n *notice) backoffRemaining(now time.Time) time.Duration {
+	if n == nil {
+		return 0
+	}
+	return max(n.backoffUntil.Sub(now), 0)
+}
+
+// BackoffRemaining returns the time until the first of a service's targets accepts
+// requests again, if all usable ones have asked for a pause; 0 otherwise.
+func (f *Fleet) BackoffRemaining(service string, now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	remaining := time.Duration(0)
+	for _, m := range f.services[service] {
+		if !m.isUsable(f.dataCentresOut) {
+			continue
+		}
+		backoff := m.notice.backoffRemaining(now)
+		if backoff == 0 {
+			return 0
+		}
+		if remaining == 0 || backoff < remaining {
+			remaining = backoff
+		}
+	}
+	return remaining
+}
--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -75,6 +75,7 @@
 	QuarantineNotStored      = declare(2107, hclog.Warn, "quarantined keys could not be read from the store or written to it")
 	AttemptFailed            = declare(2102, hclog.Info, "attempt at a target failed")
 	TargetAnnouncedLeaving   = declare(3010, hclog.Info, "target announced in an answer that it is leaving: it gets no new requests")
+	TargetBackoff            = declare(3011, hclog.Info, "target asked for no requests for a time")
 	EngineSlow               = declare(3007, hclog.Info, "engine reports a slowdown")
 	SwitchStarted            = declare(3205, hclog.Info, "change of the expert map started")
 	SwitchEnded              = declare(3206, hclog.Info, "change of the expert map ended")
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -104,7 +104,7 @@
 		return lease, verdict
 	}
 	wait := balance.MaxQueueTime(x.latencyGoal.Sub(now), x.deadline.Sub(now), missedGoal)
-	if wait <= 0 {
+	if wait <= 0 || fleet.BackoffRemaining(x.service, now) > wait {
 		return nil, verdict
 	}
 	limit := maxQueued
@@ -169,6 +169,10 @@
 		event.TargetAnnouncedLeaving.Log(x.gateway.log, "id", x.client.AttemptID, "target", t.ID)
 		x.gateway.pool.CloseIdle(t.Address)
 	}
+	if info.RetryAfter > 0 {
+		lease.RecordBackoff(info.RetryAfter, time.Now())
+		event.TargetBackoff.Log(x.gateway.log, "id", x.client.AttemptID, "target", t.ID, "retry-after-ms", info.RetryAfter.Milliseconds())
+	}
 	if info.Load != nil {
 		lease.RecordLoad(info.Load.Running, info.Load.Waiting, time.Now())
 	}
--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -81,12 +81,21 @@
 	case ctx.Err() != nil:
 		x.refuse(x.deadlineReason(), 0)
 	case verdict == balance.NoTarget:
-		x.refuse(refusal.NoTarget, retryDelay(x.gateway.recordOutage(x.service, time.Now())))
+		x.refuse(refusal.NoTarget, x.noTargetDelay(time.Now()))
 	default:
 		x.refuse(refusal.Full, retryDelay(minRetryDelay, maxRetryDelay))
 	}
 }
 
+// noTargetDelay returns the time after which a client whose request found no target is
+// told to retry.
+func (x *exchange) noTargetDelay(now time.Time) time.Duration {
+	if backoff := x.gateway.fleet.BackoffRemaining(x.service, now); backoff > 0 {
+		return backoff + retryDelay(0, maxRetryDelay)
+	}
+	return retryDelay(x.gateway.recordOutage(x.service, now))
+}
+
 // deadlineReason returns the reason for a request whose deadline has passed. Full
 // promises that the request has not run, so it is used only where no target may
 // have run it.
