An answer without an attempt's id counts only as the first on its connection

What callers saw (told by operators of similar systems, shown here by the test): a faulty server wrote an earlier refusal once more on a kept connection, without its Attempt-Id; the caller of the next request was told "not run, try again" (503) although the server ran it. A repeated success without an id was delivered as the answer.

Cause: an answer without an id was taken for the answer to the request in hand, whatever the connection had carried before.

Such an answer is accepted only as the first response on a new connection; otherwise it is skipped, like one with another id, and the connection is not used again.

--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -155,9 +155,9 @@
 		Header:      header,
 		Body:        x.body,
 		MaxIdleTime: maxIdle,
-		Matches: func(h http.Header) bool {
+		Matches: func(h http.Header, isFirst bool) bool {
 			got := platform.ReadAnswer(http.StatusOK, h).AttemptID
-			return got == "" || got == x.client.AttemptID
+			return got == "" && isFirst || got == x.client.AttemptID
 		},
 	})
 	if err != nil {
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -54,7 +54,7 @@
 	// limit limits what reader may read.
 	limit  *limitedReader
 	reader *bufio.Reader
-	// lastUsed is when the connection was last returned to the pool.
+	// lastUsed is when the connection was last returned to the pool; zero if never.
 	lastUsed time.Time
 	// idleTimeout is how long the connection may stay idle in the pool before
 	// it is closed.
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -83,8 +83,9 @@
 	Header http.Header
 	Body   []byte
 	// Matches reports whether a response with this header belongs to this
-	// request and not to an earlier one; nil accepts every response.
-	Matches func(http.Header) bool
+	// request and not to an earlier one; nil accepts every response. isFirst is set
+	// for the first response on its connection.
+	Matches func(h http.Header, isFirst bool) bool
 	// MaxIdleTime is the idle time from which a pooled connection is not reused
 	// for this request.
 	MaxIdleTime time.Duration
@@ -183,6 +184,7 @@
 func (res *Response) readHeader(r *Request) error {
 	request := &http.Request{Method: r.Method}
 	limit := res.conn.limit
+	isFirst := res.conn.lastUsed.IsZero()
 	for range maxStrayResponses + 1 {
 		limit.remaining = maxHeadBytes
 		response, err := http.ReadResponse(res.conn.reader, request)
@@ -192,12 +194,12 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if r.Matches == nil || r.Matches(response.Header) {
+		if r.Matches == nil || r.Matches(response.Header, isFirst) {
 			res.Response = response
 			limit.remaining = math.MaxInt64
 			return nil
 		}
-		res.reusable = false
+		res.reusable, isFirst = false, false
 		if response.Close {
 			break
 		}
