A stream goes on only with events that follow

What callers saw (told by operators of similar systems, shown here by the test): a stream had begun and broke off, and the next target answered with something else. With status 200 its text, or an HTTP head within it, was passed on as an event, an empty answer ended the stream as if it were complete, and a target that began from the first event had its events passed on twice.

Cause: only the status of the next target's answer was checked, not what it holds.

An answer without the type of a stream of events ends the attempt where a stream goes on, and is passed on as a whole where it is the first; a line that begins a head, and an event whose number is not above the one before, end the attempt too. The stream then goes on elsewhere or is broken off.

Failures, refusals and bytes that are no HTTP were handled before.

--- a/internal/transport/gateway/events.go
+++ b/internal/transport/gateway/events.go
@@ -11,7 +11,13 @@
 // that one stream uses.
 const maxEventBytes = 256 << 10
 
-var errEventTooLarge = errors.New("gateway: stream event exceeds 256 KiB")
+var (
+	errEventTooLarge = errors.New("gateway: stream event exceeds 256 KiB")
+	errHeadInStream  = errors.New("gateway: stream contains the head of another response")
+)
+
+// statusLineStart begins the head of a response. No field of an event begins so.
+const statusLineStart = "HTTP/1."
 
 // eventReader splits a stream of server-sent events into whole events.
 type eventReader struct {
@@ -31,12 +37,17 @@
 // the stream ends within an event.
 func (e *eventReader) next() (event []byte, id string, err error) {
 	e.event, e.isEmpty = e.event[:0], true
+	isLineStart := true
 	for {
 		line, err := e.reader.ReadSlice('\n')
 		e.event = append(e.event, line...)
 		if len(e.event) > maxEventBytes {
 			return nil, "", errEventTooLarge
 		}
+		if isLineStart && bytes.HasPrefix(line, []byte(statusLineStart)) {
+			return nil, "", errHeadInStream
+		}
+		isLineStart = err == nil
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"math"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"bluebellcrank/internal/coordination/balance"
@@ -95,7 +98,7 @@
 	}
 	x.attempts++
 	x.mayHaveRun = true
-	if res.StatusCode != http.StatusOK {
+	if res.StatusCode != http.StatusOK || !x.hasEvents(res) {
 		return x.forwardNonStream(lease, res)
 	}
 	if !info.Signed || info.Encoded {
@@ -159,6 +162,16 @@
 	return timer
 }
 
+// hasEvents reports whether an answer is a stream of events. The type may be missing,
+// but not where the stream goes on with one of another target.
+func (x *exchange) hasEvents(res *upstream.Response) bool {
+	kind, _, _ := strings.Cut(res.Header.Get("Content-Type"), ";")
+	if kind == "" {
+		return !x.hasResponseBegun
+	}
+	return strings.EqualFold(strings.TrimSpace(kind), "text/event-stream")
+}
+
 // forwardNonStream forwards an answer that is not a stream, unless the response to
 // the client has begun or another target may still serve the request.
 func (x *exchange) forwardNonStream(lease *balance.Lease, res *upstream.Response) (bool, refusal.Reason, error) {
@@ -197,6 +210,9 @@
 		if err != nil {
 			return err
 		}
+		if isRepeatedEvent(id, cmp.Or(x.lastEventID, x.client.LastEventID)) {
+			return fmt.Errorf("event %s follows %s", id, cmp.Or(x.lastEventID, x.client.LastEventID))
+		}
 		now := time.Now()
 		// A stalled target may still send comments that keep the connection open.
 		if !events.isEmpty {
@@ -223,6 +239,17 @@
 	}
 }
 
+// isRepeatedEvent reports whether an event's ID is not above the one before. IDs that are
+// no numbers are not compared.
+func isRepeatedEvent(id, previous string) bool {
+	n, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		return false
+	}
+	last, err := strconv.ParseInt(previous, 10, 64)
+	return err == nil && n <= last
+}
+
 // recordEvent records an event of a stream and the time since the previous one, if
 // there is one and this process ran all the while.
 func (x *exchange) recordEvent(lease *balance.Lease, previous, now time.Time) {
