A soak of targets that crash, leave and ask for pauses

TestSoakTargets runs three entries as processes before eight targets. Two callers send requests that crash targets, one of them only by a part of the prompt, while targets are killed, announce that they leave, ask for pauses and are replaced, and entries are killed, stopped and paused, with invalid settings and the store down; faults overlap also with those of their own kind. It checks from what callers and targets see that no entry sends to a target later than two seconds after it passed on that the target is leaving, that at most two requests come while a target has asked for a pause, that crashing requests stop, and that requests are served afterwards.

--- a/cmd/standin/crash_test.go
+++ b/cmd/standin/crash_test.go
@@ -33,10 +33,13 @@
 type crashTarget struct {
 	run      *crashRun
 	target   standin.Target
+	service  string
 	address  string
 	mu       sync.Mutex
 	server   *http.Server
 	hasEnded bool
+	// isGone is set once the target must not start again.
+	isGone bool
 }
 
 // crashRun runs entries before targets that requests crash.
@@ -44,6 +47,8 @@
 	*soakRun
 	// isDeadly reports whether a request crashes targets.
 	isDeadly func(r *http.Request, body string) bool
+	hooks    crashHooks
+	targets  []*crashTarget
 
 	mu sync.Mutex
 	// arrivals and crashes are the times of deadly requests that reached targets, and
@@ -51,20 +56,24 @@
 	arrivals, crashes []time.Time
 }
 
+// crashHooks observe requests; a nil hook is not called.
+type crashHooks struct {
+	// onArrival sees each request that reaches a target first, and reports whether it
+	// has answered it.
+	onArrival func(t *crashTarget, w http.ResponseWriter, r *http.Request) bool
+	// onSend sees each request before it is sent, and onReply the header of its answer.
+	onSend  func(id string, e *soakEntry)
+	onReply func(e *soakEntry, h http.Header)
+}
+
 // newCrashRun replaces the targets of a new run of entries.
-func newCrashRun(t *testing.T, isDeadly func(r *http.Request, body string) bool) *crashRun {
-	c := &crashRun{soakRun: newSoakRun(t, 1, soakRevocationLimit), isDeadly: isDeadly}
+func newCrashRun(t *testing.T, isDeadly func(r *http.Request, body string) bool, hooks crashHooks) *crashRun {
+	c := &crashRun{soakRun: newSoakRun(t, 1, soakRevocationLimit), isDeadly: isDeadly, hooks: hooks}
 	for _, name := range c.store.Names("servers") {
 		c.store.Delete("servers", name)
 	}
 	for n := range 8 {
-		target := &crashTarget{run: c, address: freeAddress()}
-		service := []string{"bells", "drafts"}[n%2]
-		target.target.ID = fmt.Sprintf("%s-crash-%d", service, n)
-		target.target.Handler = target.serve
-		target.start()
-		t.Cleanup(target.stop)
-		c.store.Put("servers", target.target.ID, map[string]any{"service": service, "address": target.address, "zone": "east", "slots": 16, "state": "serving"})
+		c.addTarget([]string{"bells", "drafts"}[n%2])
 	}
 	client := &http.Client{Timeout: 3 * time.Second}
 	c.eventually("every entry serves", func() bool {
@@ -78,42 +87,63 @@
 	return c
 }
 
+// addTarget starts a target of a service and lists it.
+func (c *crashRun) addTarget(service string) *crashTarget {
+	t := &crashTarget{run: c, service: service, address: freeAddress()}
+	c.mu.Lock()
+	t.target.ID = fmt.Sprintf("%s-crash-%d", service, len(c.targets))
+	c.targets = append(c.targets, t)
+	c.mu.Unlock()
+	t.target.Handler = t.serve
+	t.start()
+	c.t.Cleanup(t.stop)
+	c.store.Put("servers", t.target.ID, map[string]any{"service": service, "address": t.address, "zone": "east", "slots": 16, "state": "serving"})
+	return t
+}
+
 // start listens at the target's address.
 func (t *crashTarget) start() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.isGone {
+		return
+	}
 	l, err := net.Listen("tcp", t.address)
 	t.run.c.Assert(err, qt.IsNil)
 	server := &http.Server{Handler: &t.target}
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.server, t.hasEnded = server, false
 	// Serve ends with the server.
 	go func() { _ = server.Serve(l) }()
 }
 
-// stop closes the listener and all connections.
+// stop closes the listener and all connections for good.
 func (t *crashTarget) stop() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.isGone = true
 	_ = t.server.Close()
 }
 
-// end ends the target, unless another request just did.
-func (t *crashTarget) end() {
+// end ends the target, unless it just ended, and reports whether it did.
+func (t *crashTarget) end() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.hasEnded {
-		return
+	if t.hasEnded || t.isGone {
+		return false
 	}
 	t.hasEnded = true
-	t.run.record(&t.run.crashes)
 	time.AfterFunc(crashRestartDelay, t.start)
 	_ = t.server.Close()
+	return true
 }
 
 // serve answers a request, or begins to and ends the target.
 func (t *crashTarget) serve(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	isStream := strings.HasPrefix(r.URL.Path, "/draft/")
+	if t.run.hooks.onArrival != nil && t.run.hooks.onArrival(t, w, r) {
+		return
+	}
 	if t.run.isDeadly(r, string(body)) {
 		t.run.record(&t.run.arrivals)
 		time.Sleep(20 * time.Millisecond)
@@ -122,7 +152,9 @@
 			w.WriteHeader(http.StatusOK)
 			_ = http.NewResponseController(w).Flush()
 		}
-		t.end()
+		if t.end() {
+			t.run.record(&t.run.crashes)
+		}
 		panic(http.ErrAbortHandler)
 	}
 	if isStream {
@@ -177,10 +209,16 @@
 	if parts != "" {
 		request.Header.Set("Prompt-Prefix", parts)
 	}
+	if c.hooks.onSend != nil {
+		c.hooks.onSend(a.id, e)
+	}
 	response, err := client.Do(request)
 	if err != nil {
 		return a
 	}
+	if c.hooks.onReply != nil {
+		c.hooks.onReply(e, response.Header)
+	}
 	content, err := io.ReadAll(response.Body)
 	_ = response.Body.Close()
 	a.status, a.body, a.complete = response.StatusCode, string(content), err == nil
@@ -268,7 +306,7 @@
 		for _, stream := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, stream %v", tt.name, stream), func(t *testing.T) {
 				t.Parallel()
-				c := newCrashRun(t, func(_ *http.Request, body string) bool { return body == "deadly" })
+				c := newCrashRun(t, func(_ *http.Request, body string) bool { return body == "deadly" }, crashHooks{})
 				served, sent := c.runDeadly(tt, 2, 22*time.Second, 60*time.Millisecond,
 					func(client *http.Client, e *soakEntry, _ int) soakAttempt {
 						return c.send(client, e, stream, "deadly", "")
@@ -295,7 +333,7 @@
 	for _, tt := range crashCases {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			c := newCrashRun(t, func(r *http.Request, _ string) bool { return strings.Contains(r.Header.Get("Prompt-Prefix"), "deadly") })
+			c := newCrashRun(t, func(r *http.Request, _ string) bool { return strings.Contains(r.Header.Get("Prompt-Prefix"), "deadly") }, crashHooks{})
 			served, sent := c.runDeadly(tt, 1, 22*time.Second, 60*time.Millisecond,
 				func(client *http.Client, e *soakEntry, n int) soakAttempt {
 					return c.send(client, e, true, fmt.Sprint("tainted ", n), fmt.Sprintf("head:40,deadly:20,own-%d:600", n))
--- a/cmd/standin/pause_test.go
+++ b/cmd/standin/pause_test.go
@@ -22,7 +22,7 @@
 		sent        = 140
 	)
 	t.Parallel()
-	s := newCrashRun(t, func(*http.Request, string) bool { return false })
+	s := newCrashRun(t, func(*http.Request, string) bool { return false }, crashHooks{})
 	client := &http.Client{Timeout: 5 * time.Second}
 	var streams sync.WaitGroup
 	var served atomic.Int64
--- /dev/null
+++ b/cmd/standin/soak_targets_test.go
@@ -0,0 +1,331 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	// targetSoakPeriod is how long TestSoakTargets injects faults.
+	targetSoakPeriod = 14 * time.Second
+	// drainPeriod is how long a target that announced its leaving may get requests.
+	drainPeriod = 2 * time.Second
+	// backoffSettle is how long after its refusal a target that asks for a pause may
+	// get requests that are under way, and maxBackoffArrivals how many after that.
+	backoffSettle      = 500 * time.Millisecond
+	maxBackoffArrivals = 2
+)
+
+// sentRequest is when a request was sent to an entry.
+type sentRequest struct {
+	entry *soakEntry
+	at    time.Time
+}
+
+// targetEntry is a target and an entry that sends to it.
+type targetEntry struct {
+	target string
+	entry  *soakEntry
+}
+
+// disturbance is a time in which an entry does not run as usual; end is zero while it
+// lasts.
+type disturbance struct{ start, end time.Time }
+
+// pauseRequest is a target's refusal with a time.
+type pauseRequest struct {
+	at    time.Time
+	until time.Time
+}
+
+// targetSoak records what targets and entries tell each other while faults overlap.
+type targetSoak struct {
+	*crashRun
+	random *rand.Rand
+
+	mu   sync.Mutex
+	sent map[string]sentRequest
+	// disturbed lists the times in which each entry was paused, stopped or killed.
+	disturbed map[*soakEntry][]*disturbance
+	leaving   map[string]bool
+	// busyFor is the pause that a target asks for with each refusal.
+	busyFor map[string]time.Duration
+	// announced is when an entry first passed on that a target is leaving.
+	announced map[targetEntry]time.Time
+	arrivals  map[targetEntry][]sentRequest
+	pauses    map[targetEntry][]pauseRequest
+	// deadly has the arrivals of deadly requests by their body's first word.
+	deadly map[string][]sentRequest
+	faults []string
+}
+
+// arrive records a request at a target, and answers it if the target is busy.
+func (s *targetSoak) arrive(t *crashTarget, w http.ResponseWriter, r *http.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	request := s.sent[r.Header.Get("Attempt-Id")]
+	key := targetEntry{t.target.ID, request.entry}
+	now := time.Now()
+	s.arrivals[key] = append(s.arrivals[key], sentRequest{request.entry, now})
+	if at, isAnnounced := s.announced[key]; isAnnounced && request.at.Sub(at) > drainPeriod && s.isUndisturbed(request.entry, at, now) {
+		s.t.Errorf("%s: a request that %s got %s after it passed on that the target is leaving", t.target.ID, request.entry.name, request.at.Sub(at))
+	}
+	if s.leaving[t.target.ID] {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	if pause := s.busyFor[t.target.ID]; pause > 0 {
+		s.pauses[key] = append(s.pauses[key], pauseRequest{now, now.Add(pause)})
+		w.Header().Set("Not-Executed", "1")
+		w.Header().Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', 3, 64))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	}
+	return false
+}
+
+// recordSent records a request before it is sent to an entry.
+func (s *targetSoak) recordSent(id string, e *soakEntry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent[id] = sentRequest{e, time.Now()}
+}
+
+// recordReply records whether an entry passed on that a target is leaving.
+func (s *targetSoak) recordReply(e *soakEntry, h http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := targetEntry{h.Get("Server-Signature"), e}
+	if _, isKnown := s.announced[key]; h.Get("Server-Leaving") == "1" && !isKnown {
+		s.announced[key] = time.Now()
+	}
+}
+
+// isUndisturbed reports whether an entry ran from one time to another.
+func (s *targetSoak) isUndisturbed(e *soakEntry, from, to time.Time) bool {
+	for _, d := range s.disturbed[e] {
+		if d.start.Before(to) && (d.end.IsZero() || d.end.After(from)) {
+			return false
+		}
+	}
+	return true
+}
+
+// disturb records that an entry is disturbed until the returned function is called.
+func (s *targetSoak) disturb(e *soakEntry) (end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := &disturbance{start: time.Now()}
+	s.disturbed[e] = append(s.disturbed[e], d)
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		d.end = time.Now()
+	}
+}
+
+// checkPauses checks that no target got more requests than allowed while it had asked an
+// undisturbed entry for a pause.
+func (s *targetSoak) checkPauses() {
+	for key, pauses := range s.pauses {
+		for _, p := range pauses {
+			count := 0
+			for _, a := range s.arrivals[key] {
+				if a.at.Sub(p.at) > backoffSettle && a.at.Before(p.until) {
+					count++
+				}
+			}
+			if count > maxBackoffArrivals && s.isUndisturbed(key.entry, p.at, p.until) {
+				s.t.Errorf("%s: %d requests of %s while it had asked for a pause of %s", key.target, count, key.entry.name, p.until.Sub(p.at))
+			}
+		}
+	}
+}
+
+// checkDeadly checks how many deadly requests of a kind reached targets, sent by entries
+// that ran for crashWindow, later than that after the tolerated crash.
+func (s *targetSoak) checkDeadly(kind string, tolerated int) {
+	arrivals := s.deadly[kind]
+	if len(arrivals) < tolerated {
+		return
+	}
+	late := 0
+	for _, a := range arrivals {
+		if a.at.Sub(arrivals[tolerated-1].at) > crashWindow && s.isUndisturbed(a.entry, a.at.Add(-crashWindow), a.at) {
+			late++
+		}
+	}
+	s.c.Check(late <= maxLateArrivals, qt.IsTrue, qt.Commentf("%s: %d of %d arrivals late", kind, late, len(arrivals)))
+}
+
+// targetSoakFault is one kind of fault; inject returns once the fault is over.
+type targetSoakFault struct {
+	name   string
+	inject func(s *targetSoak, r *rand.Rand)
+}
+
+func (s *targetSoak) randomTarget(r *rand.Rand) *crashTarget {
+	s.crashRun.mu.Lock()
+	defer s.crashRun.mu.Unlock()
+	return s.targets[r.IntN(len(s.targets))]
+}
+
+// signalEntry signals an entry, which is disturbed for a time.
+func (s *targetSoak) signalEntry(e *soakEntry, sig syscall.Signal, restart time.Duration) {
+	defer s.disturb(e)()
+	e.signal(sig)
+	time.Sleep(restart)
+}
+
+var targetSoakFaults = []targetSoakFault{
+	{"entry killed", func(s *targetSoak, r *rand.Rand) {
+		s.signalEntry(randomEntry(s.soakRun, r), syscall.SIGKILL, time.Second)
+	}},
+	{"entry stopped", func(s *targetSoak, r *rand.Rand) {
+		s.signalEntry(randomEntry(s.soakRun, r), syscall.SIGTERM, 5*time.Second)
+	}},
+	{"entry paused", func(s *targetSoak, r *rand.Rand) {
+		e := randomEntry(s.soakRun, r)
+		defer s.disturb(e)()
+		e.signal(syscall.SIGSTOP)
+		time.Sleep(randomDuration(r, 200*time.Millisecond, 3*time.Second))
+		e.signal(syscall.SIGCONT)
+	}},
+	{"settings broken and restored", func(s *targetSoak, r *rand.Rand) {
+		e := randomEntry(s.soakRun, r)
+		s.c.Check(os.WriteFile(e.settingsPath, []byte("{"), 0o644), qt.IsNil)
+		e.signal(syscall.SIGHUP)
+		time.Sleep(randomDuration(r, 50*time.Millisecond, time.Second))
+		s.writeSettings(e, soakRevocationLimit)
+		e.signal(syscall.SIGHUP)
+	}},
+	{"store down", func(s *targetSoak, r *rand.Rand) {
+		s.store.SetFailureStatus(http.StatusServiceUnavailable)
+		time.Sleep(randomDuration(r, 300*time.Millisecond, 3*time.Second))
+		s.store.SetFailureStatus(0)
+	}},
+	{"configuration changed", func(s *targetSoak, _ *rand.Rand) { s.writeConfiguration() }},
+	{"target killed", func(s *targetSoak, r *rand.Rand) { s.randomTarget(r).end() }},
+	{"target leaves", func(s *targetSoak, r *rand.Rand) {
+		old := s.randomTarget(r)
+		s.mu.Lock()
+		isNew := !s.leaving[old.target.ID]
+		s.leaving[old.target.ID] = true
+		s.mu.Unlock()
+		if !isNew {
+			return
+		}
+		s.addTarget(old.service)
+		time.Sleep(2 * drainPeriod)
+		s.store.Delete("servers", old.target.ID)
+		old.stop()
+	}},
+	{"target busy", func(s *targetSoak, r *rand.Rand) {
+		id := s.randomTarget(r).target.ID
+		s.mu.Lock()
+		s.busyFor[id] = randomDuration(r, 600*time.Millisecond, 3*time.Second)
+		s.mu.Unlock()
+		time.Sleep(randomDuration(r, 100*time.Millisecond, 3*time.Second))
+		s.mu.Lock()
+		delete(s.busyFor, id)
+		s.mu.Unlock()
+	}},
+}
+
+// injectFaults injects random faults until the given time. Faults overlap, also with
+// those of their own kind.
+func (s *targetSoak) injectFaults(until time.Time) {
+	var all sync.WaitGroup
+	for time.Now().Before(until) {
+		time.Sleep(time.Duration(s.random.Int64N(int64(soakMaxFaultGap))))
+		f, r := targetSoakFaults[s.random.IntN(len(targetSoakFaults))], rand.New(rand.NewPCG(s.random.Uint64(), 2))
+		s.faults = append(s.faults, f.name)
+		all.Go(func() { f.inject(s, r) })
+	}
+	all.Wait()
+}
+
+// runCallers sends sound and, if asked for, deadly requests to the entries until the
+// given time. It returns how many of the sound ones were served, and how many were sent.
+func (s *targetSoak) runCallers(until time.Time, withDeadly bool) (served, sent int) {
+	var all sync.WaitGroup
+	var counts sync.Mutex
+	for n := range soakCallerCount {
+		r := rand.New(rand.NewPCG(s.seed, uint64(n)+7))
+		all.Go(func() {
+			client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableCompression: true}}
+			defer client.CloseIdleConnections()
+			for count := 0; time.Now().Before(until); count++ {
+				e := s.entries[r.IntN(len(s.entries))]
+				own := fmt.Sprintf("own-%d-%d:600", n, count)
+				if withDeadly && n < 2 {
+					kind := []string{"single", "part"}[n]
+					s.send(client, e, n == 1, kind, map[string]string{"single": "", "part": "head:40,deadly:20," + own}[kind])
+					time.Sleep(time.Duration(r.IntN(250)) * time.Millisecond)
+					continue
+				}
+				a := s.send(client, e, r.IntN(2) == 0, "sound "+own, "head:40,"+own)
+				counts.Lock()
+				sent++
+				if a.status == http.StatusOK && a.complete {
+					served++
+				}
+				counts.Unlock()
+				time.Sleep(time.Duration(r.IntN(100)) * time.Millisecond)
+			}
+		})
+	}
+	all.Wait()
+	return served, sent
+}
+
+// TestSoakTargets runs callers, of whom some crash targets, while targets are killed,
+// announce that they leave and ask for pauses, and entries are killed, stopped and
+// paused. SEEDS=n runs n seeds, SEED=n only that seed.
+func TestSoakTargets(t *testing.T) {
+	for _, seed := range seeds(2) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := &targetSoak{
+				random: rand.New(rand.NewPCG(seed, 11)), sent: map[string]sentRequest{}, disturbed: map[*soakEntry][]*disturbance{},
+				leaving: map[string]bool{}, busyFor: map[string]time.Duration{}, announced: map[targetEntry]time.Time{},
+				arrivals: map[targetEntry][]sentRequest{}, pauses: map[targetEntry][]pauseRequest{}, deadly: map[string][]sentRequest{},
+			}
+			s.crashRun = newCrashRun(t, func(r *http.Request, body string) bool {
+				kind, _, _ := strings.Cut(body, " ")
+				if kind != "single" && kind != "part" {
+					return false
+				}
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				s.deadly[kind] = append(s.deadly[kind], sentRequest{s.sent[r.Header.Get("Attempt-Id")].entry, time.Now()})
+				return true
+			}, crashHooks{onArrival: s.arrive, onSend: s.recordSent, onReply: s.recordReply})
+			s.seed = seed
+			until := time.Now().Add(targetSoakPeriod)
+			var injecting sync.WaitGroup
+			injecting.Go(func() { s.injectFaults(until) })
+			served, sent := s.runCallers(until, true)
+			injecting.Wait()
+			s.eventually("every entry is ready", s.allReady)
+			time.Sleep(drainPeriod)
+			calmServed, calmSent := s.runCallers(time.Now().Add(soakCalmPeriod), false)
+			t.Logf("seed %d: %d faults, %d of %d served, after the faults %d of %d; deadly requests at targets: %d single, %d with the part", seed, len(s.faults), served, sent, calmServed, calmSent, len(s.deadly["single"]), len(s.deadly["part"]))
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.checkPauses()
+			s.checkDeadly("single", 3)
+			s.checkDeadly("part", 5)
+			s.c.Check(calmServed*10 >= calmSent*9, qt.IsTrue, qt.Commentf("served %d of %d after the faults", calmServed, calmSent))
+			s.checkLogs()
+		})
+	}
+}
