A request on a connection that is about to be closed is not read

Cause: an entry that stops takes the idle connections from its list and closes them afterwards. A request whose first byte was read in between was served, although its connection was to be closed. The class: a decision and its effect with room for an event between them.

A connection that is to be closed is marked under the lock under which it was chosen, and the first byte of a request that arrives later is not taken: the client, whose request was not read, may send it again.

TestRequestOnAConnectionThatIsBeingClosedIsNotRead failed before.

--- a/internal/transport/gateway/clients.go
+++ b/internal/transport/gateway/clients.go
@@ -39,7 +39,10 @@
 	clients *clientConns
 	// awaitsHeader is set while the next byte begins the header of a request.
 	awaitsHeader atomic.Bool
-	closed       sync.Once
+	// isExpired is set once the connection is to be closed. It is guarded by the lock of
+	// clients.
+	isExpired bool
+	closed    sync.Once
 }
 
 // Close implements net.Conn.
@@ -48,11 +51,12 @@
 	return c.Conn.Close()
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. A request that arrives once the connection is to be closed
+// is not read, so that it is not passed on and then left without an answer.
 func (c *clientConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && c.awaitsHeader.CompareAndSwap(true, false) {
-		c.clients.headerBegan(c, time.Now())
+	if n > 0 && c.awaitsHeader.CompareAndSwap(true, false) && !c.clients.headerBegan(c, time.Now()) {
+		return 0, net.ErrClosed
 	}
 	return n, err
 }
@@ -117,13 +121,18 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
-// headerBegan records that the first byte of a request was read.
-func (c *clientConns) headerBegan(conn net.Conn, now time.Time) {
+// headerBegan records that the first byte of a request was read. It reports whether the
+// request is to be served.
+func (c *clientConns) headerBegan(conn *clientConn, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if conn.isExpired {
+		return false
+	}
 	delete(c.idle, conn)
 	delete(c.unused, conn)
 	c.headers[conn] = now
+	return true
 }
 
 // headerRead records that the header of a request was read, given its context.
@@ -151,11 +160,14 @@
 }
 
 // closeIdle closes the connections that have been idle for at least limit.
-func (c *clientConns) closeIdle(limit time.Duration, now time.Time) {
+func (c *clientConns) closeIdle(limit time.Duration, now time.Time) { closeAll(c.takeIdle(limit, now)) }
+
+// takeIdle returns the connections that have been idle for at least limit, which are to be
+// closed.
+func (c *clientConns) takeIdle(limit time.Duration, now time.Time) []net.Conn {
 	c.mu.Lock()
-	idle := expired(c.idle, limit, now)
-	c.mu.Unlock()
-	closeAll(idle)
+	defer c.mu.Unlock()
+	return expired(c.idle, limit, now)
 }
 
 // closeSlow closes the connections whose request header is incomplete after limit, and
@@ -168,12 +180,16 @@
 	return len(slow)
 }
 
-// expired removes and returns the connections whose time is at least limit ago.
+// expired removes, marks and returns the connections whose time is at least limit ago.
+// The lock of the connections must be held.
 func expired(conns map[net.Conn]time.Time, limit time.Duration, now time.Time) []net.Conn {
 	var out []net.Conn
 	for conn, since := range conns {
 		if now.Sub(since) >= limit {
 			delete(conns, conn)
+			if client, ok := conn.(*clientConn); ok {
+				client.isExpired = true
+			}
 			out = append(out, conn)
 		}
 	}
