An entry that has just started does not blame a part for one crash

What callers would have seen: after a restart of all entries, the end of one target in the first second, for any reason, would have quarantined a part that all prompts of a kind have in common, for ten seconds or more. Found by reading; shown by TestEntryThatHasJustStarted, which failed before.

Cause: a part without an answer counts as rare, but an entry that has just started has seen no answers.

For 10 s after its start an entry counts a crash as the answer began like one before it: two that do not coincide are needed. What the store has of earlier quarantines, and what other entries report, counts as before.

The dump shows the suspects and the pauses of targets, and the list forgets what it knows of entries that are gone.

--- a/internal/coordination/balance/dump.go
+++ b/internal/coordination/balance/dump.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // TargetState is the state of one target as a dump shows it.
@@ -12,13 +13,15 @@
 	DataCentre string `yaml:"data-centre"`
 	Group      string `yaml:"group"`
 	Leaving    bool   `yaml:"leaving"`
-	InFlight   int    `yaml:"in-flight"`
-	Failures   int    `yaml:"failures"`
-	StepTimeMs int64  `yaml:"pace-ms"`
+	// BackoffMs is how much longer the target wants no requests.
+	BackoffMs  int64 `yaml:"backoff-ms"`
+	InFlight   int   `yaml:"in-flight"`
+	Failures   int   `yaml:"failures"`
+	StepTimeMs int64 `yaml:"pace-ms"`
 }
 
 // Targets returns the state of all targets, sorted by ID.
-func (f *Fleet) Targets() []TargetState {
+func (f *Fleet) Targets(now time.Time) []TargetState {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []TargetState
@@ -29,6 +32,7 @@
 			DataCentre: m.target.DataCentre,
 			Group:      m.group.name,
 			Leaving:    m.isLeaving(),
+			BackoffMs:  m.notice.backoffRemaining(now).Milliseconds(),
 			InFlight:   m.inFlight,
 			Failures:   m.failures,
 			StepTimeMs: m.group.stepTime.mean.Milliseconds(),
--- a/internal/coordination/quarantine/list.go
+++ b/internal/coordination/quarantine/list.go
@@ -33,6 +33,9 @@
 	// trialTimeout is how long a trial may go without a crash or an answer before
 	// another request may be tried.
 	trialTimeout = 5 * time.Second
+	// learningPeriod is how long after its start an entry has seen too few answers to
+	// take a part without one for a rare one.
+	learningPeriod = 10 * time.Second
 	// trialStagger is the time between the trials of two entries. The outcome of one
 	// is known everywhere before the next.
 	trialStagger = 3 * time.Second
@@ -41,14 +44,17 @@
 // List holds the keys that were in use when targets crashed. It is not safe for
 // concurrent use.
 type List struct {
-	records map[Key]*record
-	proven  provenKeys
+	startedAt time.Duration
+	records   map[Key]*record
+	proven    provenKeys
 	// version increases with each change that other entries should know.
 	version uint64
 }
 
-// NewList returns an empty list.
-func NewList() *List { return &List{records: map[Key]*record{}} }
+// NewList returns the empty list of an entry that started at a time.
+func NewList(startedAt time.Duration) *List {
+	return &List{startedAt: startedAt, records: map[Key]*record{}}
+}
 
 // RecordCrash records that a target ended while it had a request that it had begun to
 // answer (hasBegun) or not, and of which hardly any of the answer was passed on.
@@ -60,7 +66,7 @@
 		parts = s.Parts
 	}
 	c := crash{at: now, weight: weakWeight}
-	if hasBegun {
+	if hasBegun && now-l.startedAt >= learningPeriod {
 		c.weight = strongWeight
 	}
 	out := l.update(s.Request, now, func(r *record) bool { return r.addCrash(c) })
--- a/internal/coordination/quarantine/list_test.go
+++ b/internal/coordination/quarantine/list_test.go
@@ -71,7 +71,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			c := qt.New(t)
-			l := NewList()
+			l := NewList(0)
 			for _, s := range tt.steps {
 				if s.crash {
 					l.RecordCrash(s.suspect, s.hasBegun, start+s.at)
@@ -86,11 +86,24 @@
 	}
 }
 
+// TestEntryThatHasJustStarted checks that an entry that has seen no answers yet does not
+// blame a part for a single crash.
+func TestEntryThatHasJustStarted(t *testing.T) {
+	c := qt.New(t)
+	const start = time.Hour
+	l := NewList(start)
+	sound := Suspect{Request: 1, Parts: []Key{PartKey("drafts", "head")}}
+	l.RecordCrash(sound, true, start+time.Second)
+	c.Check(l.Check(Suspect{Request: 2, Parts: sound.Parts}, first, start+ms(1100)), qt.Equals, time.Duration(0))
+	l.RecordCrash(Suspect{Request: 2, Parts: sound.Parts}, true, start+2*time.Second)
+	c.Check(l.IsQuarantined(sound.Parts[0]), qt.IsTrue)
+}
+
 // TestReportsConverge exchanges the lists of two entries again and again. The ages of
 // reports are wrong by the time of an exchange, which must not add up.
 func TestReportsConverge(t *testing.T) {
 	c := qt.New(t)
-	a, b := NewList(), NewList()
+	a, b := NewList(0), NewList(0)
 	now := time.Hour
 	innocent := Suspect{Request: 1, Parts: []Key{7}}
 	b.RecordAnswer(innocent, now)
@@ -125,7 +138,7 @@
 // TestMemoryIsBounded has many requests crash targets, no two alike.
 func TestMemoryIsBounded(t *testing.T) {
 	c := qt.New(t)
-	l := NewList()
+	l := NewList(0)
 	now := time.Hour
 	guilty := Suspect{Request: 1, Parts: []Key{1 << 60}}
 	l.RecordCrash(guilty, true, now)
@@ -192,7 +205,7 @@
 				c := qt.New(t)
 				f := &crashFleet{random: rand.New(rand.NewPCG(seed, 9)), now: time.Hour, tolerated: 5, window: 3 * time.Second}
 				for range entries {
-					f.lists, f.known = append(f.lists, NewList()), append(f.known, 0)
+					f.lists, f.known = append(f.lists, NewList(0)), append(f.known, 0)
 				}
 				if tt.isKnown {
 					for n := range heads {
--- a/internal/transport/gateway/drain_test.go
+++ b/internal/transport/gateway/drain_test.go
@@ -86,7 +86,7 @@
 	}
 	url := env.addTarget(target, target.ID, "bells")
 	env.store.Put("servers", target.ID, map[string]any{"service": "bells", "address": url[len("http://"):], "zone": "east", "slots": 64, "state": "serving"})
-	env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets()) == 1 })
+	env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets(time.Now())) == 1 })
 	var running sync.WaitGroup
 	for n := range clients {
 		running.Go(func() { d.run(fmt.Sprintf("client-%d", n), n%2 == 0) })
--- a/internal/transport/gateway/dump.go
+++ b/internal/transport/gateway/dump.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/goccy/go-yaml"
 
 	"bluebellcrank/internal/coordination/balance"
@@ -18,6 +20,16 @@
 	ConfirmationAgeMs int64                 `yaml:"proof-age-ms"`
 	Entries           int64                 `yaml:"entries"`
 	Targets           []balance.TargetState `yaml:"targets"`
+	Suspects          []suspectState        `yaml:"suspects"`
+}
+
+// suspectState is a request, or a part of prompts, that was in use when targets ended.
+type suspectState struct {
+	Key         string `yaml:"key"`
+	Quarantined bool   `yaml:"quarantined"`
+	Crashes     int    `yaml:"crashes"`
+	// LastCrashMs is the time since the last crash in ms.
+	LastCrashMs int64 `yaml:"last-crash-ms"`
 }
 
 // dump returns the entry's state as YAML.
@@ -29,7 +41,8 @@
 		Ready:             g.isReady(),
 		ConfirmationAgeMs: g.follower.ConfirmationAge(process.BootTime()).Milliseconds(),
 		Entries:           g.entryCount.Load(),
-		Targets:           g.fleet.Targets(),
+		Targets:           g.fleet.Targets(time.Now()),
+		Suspects:          g.quarantine.suspects(process.BootTime()),
 	}
 	if t := g.follower.Table(); t != nil {
 		s.Config = t.Version()
--- a/internal/transport/gateway/endless_test.go
+++ b/internal/transport/gateway/endless_test.go
@@ -62,7 +62,7 @@
 			var written atomic.Int64
 			target := &standin.Target{ID: "t-0", Handler: standin.Endless(tt.start, tt.part, tt.pause, &written)}
 			env.addTarget(target, target.ID, tt.route.service)
-			env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets()) == 1 })
+			env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets(time.Now())) == 1 })
 			began := time.Now()
 			a, err := env.client.Do(env.request(tt.route, "a-1", "{}"))
 			c.Assert(err, qt.IsNil)
@@ -96,7 +96,7 @@
 		target := &standin.Target{ID: fmt.Sprintf("t-%d", n), Handler: standin.Endless(signedHead+"X: ", strings.Repeat("x", 64<<10), 0, &written)}
 		env.addTarget(target, target.ID, "bells")
 	}
-	env.eventually("targets are known", func() bool { return len(env.gateway.fleet.Targets()) == targetCount })
+	env.eventually("targets are known", func() bool { return len(env.gateway.fleet.Targets(time.Now())) == targetCount })
 	var before, most runtime.MemStats
 	runtime.ReadMemStats(&before)
 	var callers sync.WaitGroup
--- a/internal/transport/gateway/faulty_test.go
+++ b/internal/transport/gateway/faulty_test.go
@@ -116,7 +116,7 @@
 				return copies + strings.ReplaceAll(rawAnswer(200, "", "struck"), "a-1", attempt), true
 			}
 			env.addRawTarget(target, "faulty", "bells")
-			env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets()) == 1 })
+			env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets(time.Now())) == 1 })
 			env.c.Assert(env.do(env.request(order, "a-1", "strike")).status, qt.Equals, 503)
 			if tt.isEarly {
 				target.write(tt.copies)
@@ -168,7 +168,7 @@
 				}}
 				env.addRawTarget(target, fmt.Sprint("t-", n), "drafts")
 			}
-			env.eventually("targets are known", func() bool { return len(env.gateway.fleet.Targets()) == 2 })
+			env.eventually("targets are known", func() bool { return len(env.gateway.fleet.Targets(time.Now())) == 2 })
 			got := env.do(env.request(draft, "a-1", "strike"))
 			env.c.Check(got.body, qt.Equals, eventText(1, 2))
 			env.c.Check(got.broken, qt.IsTrue)
@@ -207,7 +207,7 @@
 			env := newTestEnv(t)
 			target := &rawTarget{closes: true, answer: func(*http.Request) (string, bool) { return tt.answer, true }}
 			env.addRawTarget(target, "t-0", tt.route.service)
-			env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets()) == 1 })
+			env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets(time.Now())) == 1 })
 			got := env.do(env.request(tt.route, "a-1", "strike"))
 			env.c.Check(got.status, qt.Equals, tt.status)
 			env.c.Check(got.body, qt.Equals, tt.body)
--- a/internal/transport/gateway/limits_test.go
+++ b/internal/transport/gateway/limits_test.go
@@ -52,7 +52,7 @@
 			target := &standin.Target{ID: "t-0"}
 			env.addTarget(target, target.ID, "bells")
 			env.eventually("the limits are in force", func() bool {
-				return env.gateway.follower.Table().Version() == 2 && len(env.gateway.fleet.Targets()) == 1
+				return env.gateway.follower.Table().Version() == 2 && len(env.gateway.fleet.Targets(time.Now())) == 1
 			})
 			conn, err := net.Dial("tcp", env.address)
 			c.Assert(err, qt.IsNil)
--- a/internal/transport/gateway/notice_test.go
+++ b/internal/transport/gateway/notice_test.go
@@ -44,7 +44,7 @@
 				}
 			}
 			url := env.addTarget(target, "leaving", tt.route.service)
-			env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets()) == 1 })
+			env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets(time.Now())) == 1 })
 			env.do(env.request(tt.route, "a-0", ""))
 			isLeaving.Store(true)
 			time.Sleep(150 * time.Millisecond) // the suspension after a refusal
@@ -100,7 +100,7 @@
 				}
 			}
 			env.addTarget(target, "busy", tt.route.service)
-			env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets()) == 1 })
+			env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets(time.Now())) == 1 })
 			env.c.Assert(env.do(env.request(tt.route, "a-0", "")).status, qt.Equals, http.StatusOK)
 			isBusy.Store(true)
 			env.do(env.request(tt.route, "a-1", ""))
--- a/internal/transport/gateway/plain_test.go
+++ b/internal/transport/gateway/plain_test.go
@@ -67,7 +67,7 @@
 				env.addTarget(target, target.ID, "bells")
 				targets = append(targets, target)
 			}
-			env.eventually("targets are known", func() bool { return len(env.gateway.fleet.Targets()) == 2 })
+			env.eventually("targets are known", func() bool { return len(env.gateway.fleet.Targets(time.Now())) == 2 })
 			got := env.do(env.request(tt.route, "a-1", "strike"))
 			c.Check(got.status, qt.Equals, tt.status)
 			c.Check(got.body, qt.Equals, tt.body)
@@ -84,7 +84,7 @@
 	env := newTestEnv(t)
 	target := &standin.Target{ID: "t-0"}
 	env.addTarget(target, target.ID, "bells")
-	env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets()) == 1 })
+	env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets(time.Now())) == 1 })
 	q := env.request(order, "a-1", "strike")
 	q.Header.Set("Tenant", "somebody-else")
 	q.Header.Set("X-Own", "kept")
@@ -125,7 +125,7 @@
 			env := newTestEnv(t)
 			target := &standin.Target{ID: "t-0"}
 			env.addTarget(target, target.ID, "bells")
-			env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets()) == 1 })
+			env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets(time.Now())) == 1 })
 			q := env.request(order, "a-1", "strike")
 			tt.change(q)
 			c.Check(env.do(q).status, qt.Equals, tt.status)
@@ -247,7 +247,7 @@
 		}
 		env.addTarget(target, target.ID, "bells")
 	}
-	env.eventually("targets are known", func() bool { return len(env.gateway.fleet.Targets()) == 2 })
+	env.eventually("targets are known", func() bool { return len(env.gateway.fleet.Targets(time.Now())) == 2 })
 	patient := route{name: "patient", kind: "idempotent", service: "bells", maxTargets: 2, timeoutMs: 20_000}
 	env.configure(testKey, patient)
 	env.eventually("the route is in force", func() bool { return env.gateway.follower.Table().Version() == 2 })
--- a/internal/transport/gateway/quarantinelist.go
+++ b/internal/transport/gateway/quarantinelist.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -94,7 +95,7 @@
 		changed: make(chan struct{}, 1),
 		notices: make(chan string, maxPendingNotices),
 		unsaved: make(chan quarantine.Key, maxPendingNotices),
-		list:    quarantine.NewList(),
+		list:    quarantine.NewList(process.BootTime()),
 		known:   map[string]quarantineReply{},
 	}
 }
@@ -105,8 +106,14 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.names, q.count = names, count
-	if peers != nil {
-		q.peers = peers
+	if peers == nil {
+		return
+	}
+	q.peers = peers
+	for peer := range q.known {
+		if !slices.Contains(peers, peer) {
+			delete(q.known, peer)
+		}
 	}
 }
 
@@ -178,6 +185,19 @@
 	}
 }
 
+// suspects returns the keys that were in use when targets ended, the most blamed first.
+func (q *quarantineList) suspects(now time.Duration) []suspectState {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var out []suspectState
+	for _, r := range q.list.Reports(0, now) {
+		if n := len(r.Crashes); n > 0 {
+			out = append(out, suspectState{Key: keyName(r.Key), Quarantined: q.list.IsQuarantined(r.Key), Crashes: n, LastCrashMs: r.Crashes[n-1].AgeMs})
+		}
+	}
+	return out
+}
+
 // keyName returns the name of a key in logs and in the store.
 func keyName(k quarantine.Key) string { return fmt.Sprintf("%016x", uint64(k)) }
 
--- a/internal/transport/gateway/recheck_test.go
+++ b/internal/transport/gateway/recheck_test.go
@@ -45,7 +45,7 @@
 	}
 	env.addTarget(&standin.Target{ID: "t-0", Handler: handler}, "t-0", "bells")
 	env.addTarget(&standin.Target{ID: "t-1", Handler: handler}, "t-1", "bells")
-	env.eventually("both targets are known", func() bool { return len(env.gateway.fleet.Targets()) == 2 })
+	env.eventually("both targets are known", func() bool { return len(env.gateway.fleet.Targets(time.Now())) == 2 })
 	env.c.Check(env.do(env.request(status, "a-1", "")).status, qt.Equals, 502)
 	env.c.Check(runs.Load(), qt.Equals, int32(1))
 }
--- a/internal/transport/gateway/stream_test.go
+++ b/internal/transport/gateway/stream_test.go
@@ -67,7 +67,7 @@
 				target.Handler = scriptedAnswer(&runs, tt.answer, tt.lastEvent)
 				env.addTarget(target, target.ID, "drafts")
 			}
-			env.eventually("targets are known", func() bool { return len(env.gateway.fleet.Targets()) == 2 })
+			env.eventually("targets are known", func() bool { return len(env.gateway.fleet.Targets(time.Now())) == 2 })
 			q := env.request(tt.route, "a-1", "{}")
 			if tt.resumeAfter != "" {
 				q.Header.Set("Last-Event-Id", tt.resumeAfter)
@@ -89,7 +89,7 @@
 	env := newTestEnv(t)
 	target := &standin.Target{ID: "d-0", Handler: standin.Events(3, 300*time.Millisecond)}
 	env.addTarget(target, target.ID, "drafts")
-	env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets()) == 1 })
+	env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets(time.Now())) == 1 })
 	a, err := env.client.Do(env.request(draft, "a-1", "{}"))
 	c.Assert(err, qt.IsNil)
 	defer func() { _ = a.Body.Close() }()
@@ -118,7 +118,7 @@
 			env := newTestEnv(t)
 			target := &standin.Target{ID: "d-0", Handler: standin.Events(1000, tt.gap)}
 			env.addTarget(target, target.ID, "drafts")
-			env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets()) == 1 })
+			env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets(time.Now())) == 1 })
 			q := env.request(draft, "a-1", "{}")
 			ended := make(chan struct{})
 			ctx, leave := contextWithCancel(q)
@@ -156,7 +156,7 @@
 			body := strings.Repeat("x", tt.size)
 			target := &standin.Target{ID: "d-0", Handler: standin.Raw(rawAnswer(400, "", body))}
 			env.addTarget(target, target.ID, "drafts")
-			env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets()) == 1 })
+			env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets(time.Now())) == 1 })
 			got := env.do(env.request(single, "a-1", "{}"))
 			c.Check(got.status, qt.Equals, 400)
 			c.Check(got.broken, qt.IsFalse)
@@ -213,7 +213,7 @@
 		target := &standin.Target{ID: id, Handler: handler}
 		env.addTarget(target, id, "drafts")
 	}
-	env.eventually("targets are known", func() bool { return len(env.gateway.fleet.Targets()) == 2 })
+	env.eventually("targets are known", func() bool { return len(env.gateway.fleet.Targets(time.Now())) == 2 })
 	got := env.do(env.request(draft, "a-1", "{}"))
 	c.Check(runs.Load(), qt.Equals, int32(2))
 	c.Check(got.broken, qt.IsFalse)
