--- a/internal/coordination/quarantine/list.go
+++ b/internal/coordination/quarantine/list.go
@@ -155,19 +155,6 @@
 	}
 }
 
-// Len returns the number of keys with crashes, and how many of them are quarantined.
-func (l *List) Len() (suspected, quarantined int) {
-	for _, r := range l.records {
-		if len(r.crashes) > 0 {
-			suspected++
-		}
-		if r.isQuarantined() {
-			quarantined++
-		}
-	}
-	return suspected, quarantined
-}
-
 // IsQuarantined reports whether a key is quarantined.
 func (l *List) IsQuarantined(k Key) bool {
 	r := l.records[k]
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -210,8 +210,8 @@
 		if err != nil {
 			return err
 		}
-		if isRepeatedEvent(id, cmp.Or(x.lastEventID, x.client.LastEventID)) {
-			return fmt.Errorf("event %s follows %s", id, cmp.Or(x.lastEventID, x.client.LastEventID))
+		if previous := cmp.Or(x.lastEventID, x.client.LastEventID); isRepeatedEvent(id, previous) {
+			return fmt.Errorf("event %s follows event %s", id, previous)
 		}
 		now := time.Now()
 		// A stalled target may still send comments that keep the connection open.
