A configuration without routes is in force like any other

What callers saw: once the operator had removed the last route, entries went on serving it for good, since they took a configuration without routes for an invalid one. Rank agents of a store with such a configuration never changed an expert map.

The list may be empty; only a configuration that lacks it is incomplete.

Evidence: TestLastRouteIsDropped failed before (200 for the dropped route after 2 s). The case "no routes" of TestInvalidConfigurationIsNotApplied stands.

--- a/cmd/standin/rank_test.go
+++ b/cmd/standin/rank_test.go
@@ -44,6 +44,7 @@
 	store := standin.NewStore()
 	store.Put("config", "main", map[string]any{
 		"version": 1,
+		"routes":  []any{},
 		"services": []map[string]any{{"name": "drafts", "engineProfile": map[string]any{
 			"slots": 12, "linkMbps": 92000, "layerGroups": layers, "experts": experts, "placements": 6, "isSpare": 2,
 			"expertSizeMb": 300, "expertFraction": 0.85,
--- a/internal/state/routing/validate.go
+++ b/internal/state/routing/validate.go
@@ -13,9 +13,6 @@
 	if t.version <= 0 {
 		errs = append(errs, fmt.Errorf("routing: version %d is not positive", t.version))
 	}
-	if len(t.hosts) == 0 {
-		errs = append(errs, errors.New("routing: there are no routes"))
-	}
 	for _, routes := range t.hosts {
 		prefixes := map[string]string{}
 		for _, r := range routes {
--- a/internal/transport/gateway/config_test.go
+++ b/internal/transport/gateway/config_test.go
@@ -97,6 +97,19 @@
 	}
 }
 
+// TestLastRouteIsDropped has the operator remove all routes, and add one again.
+func TestLastRouteIsDropped(t *testing.T) {
+	env := newTestEnv(t)
+	env.addTarget(&standin.Target{ID: "t-0"}, "t-0", "bells")
+	env.eventually("the target serves", func() bool { return env.do(env.request(order, "a-0", "strike")).status == 200 })
+	env.configure(testKey)
+	time.Sleep(configPropagation)
+	env.c.Check(droppedStatuses, qt.Contains, env.do(env.request(order, "a-1", "strike")).status)
+	env.configure(testKey, status)
+	time.Sleep(configPropagation)
+	env.c.Check(env.do(env.request(status, "a-2", "")).status, qt.Equals, 200)
+}
+
 // TestTimeoutOfANewVersion lowers the time-out of a route whose target never answers.
 func TestTimeoutOfANewVersion(t *testing.T) {
 	env := newTestEnv(t)
