A repeated stop signal does not cut off requests

What callers saw: streams that ended after some events and orders without an answer, which targets had run, from an entry that was told to stop twice (by the platform and an operator's script, say).

Cause: the first SIGTERM drained an entry and a second one ended it at once. That is meant for the own interface, whose drain has no time limit. On the users' platform the drain is limited by the grace period, after which SIGKILL follows anyway.

Change: gateway and rank ignore further SIGTERMs, and SIGINT ends them at once. TestSecondSignal, of the own interface, stands.

TestSoakSeries injects series of signals, restarts and changes that overlap, with callers that use their connections until the entry closes them; it also probes routes that versions of the configuration add and drop. ENTRIES=n sets the number of entries of the soaks.

--- a/cmd/bluebellcrank/gateway.go
+++ b/cmd/bluebellcrank/gateway.go
@@ -7,6 +7,7 @@
 	"os"
 	"runtime/debug"
 	"strconv"
+	"syscall"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -19,8 +20,8 @@
 
 const usageGateway = `
 Run the entry on the users' platform. The platform provides the settings file
-and gives its path in the environment. The first SIGTERM starts a drain, a second
-one ends the entry at once.
+and gives its path in the environment. SIGTERM starts a drain, which lasts at most the
+platform's grace period; SIGINT during the drain ends the entry at once.
 `
 
 // memoryLimitShare is the share of the instance's memory limit that the Go runtime
@@ -80,6 +81,12 @@
 	}
 }
 
+// platformSignals returns what signals do to the programs on the users' platform. The
+// platform may send SIGTERM again, and SIGKILL once the grace period is over.
+func platformSignals(reload func()) process.Signals {
+	return process.Signals{Reload: reload, Abort: []os.Signal{syscall.SIGINT}}
+}
+
 // operatorListener listens on the instance's address for operators. It returns nil
 // if the port is 0.
 func operatorListener(settings instance.Settings, port int) (net.Listener, error) {
@@ -114,6 +121,6 @@
 	}
 	log, logWriter := platformLog(settings.Name, c.LogLevel)
 	daemon := gateway.New(settings, log, listeners, gateway.Options{ReadSettings: platformSettings, DroppedLogLines: logWriter.Dropped, Choice: c.Choice})
-	process.Run(daemon, log, daemon.Reload)
+	process.Run(daemon, log, platformSignals(daemon.Reload))
 	return nil
 }
--- a/cmd/bluebellcrank/rank.go
+++ b/cmd/bluebellcrank/rank.go
@@ -42,6 +42,6 @@
 	}
 	log, logWriter := platformLog(settings.Name, c.LogLevel)
 	// An agent's settings do not change while it runs, so SIGHUP does nothing.
-	process.Run(rankagent.New(settings, log, peers, operator, logWriter.Dropped), log, func() {})
+	process.Run(rankagent.New(settings, log, peers, operator, logWriter.Dropped), log, platformSignals(func() {}))
 	return nil
 }
--- a/cmd/bluebellcrank/settings.go
+++ b/cmd/bluebellcrank/settings.go
@@ -118,6 +118,6 @@
 	do.Provide(injector, func(i do.Injector) (process.Daemon, error) {
 		return newDaemon(do.MustInvoke[hclog.Logger](i), do.MustInvoke[process.Listeners](i)), nil
 	})
-	process.Run(do.MustInvoke[process.Daemon](injector), do.MustInvoke[hclog.Logger](injector), nil)
+	process.Run(do.MustInvoke[process.Daemon](injector), do.MustInvoke[hclog.Logger](injector), process.Signals{}.Defaults())
 	return nil
 }
--- /dev/null
+++ b/cmd/standin/soak_series_test.go
@@ -0,0 +1,340 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	// seriesSoakPeriod is how long TestSoakSeries injects series of faults.
+	seriesSoakPeriod = 12 * time.Second
+	// seriesMaxLength is the largest number of faults in a series, and seriesMaxGap the
+	// longest time between two of them.
+	seriesMaxLength = 5
+	seriesMaxGap    = 400 * time.Millisecond
+	// configPropagation is how long after it is stored a version of the configuration
+	// may not be in force, and stabilityWindow how long an entry must have been
+	// undisturbed for that.
+	configPropagation = 2 * time.Second
+	stabilityWindow   = 3 * time.Second
+	// maxVersionRoutes is the number of versions after which the route that a version
+	// added is dropped.
+	maxVersionRoutes = 4
+)
+
+// versionRoute is a route that one version of the configuration added and a later one
+// may have dropped.
+type versionRoute struct {
+	name               string
+	addedAt, droppedAt time.Time
+}
+
+// seriesSoak is a run in which faults come in series that overlap, and in which callers
+// use their open connections until the entry closes them.
+type seriesSoak struct {
+	*soakRun
+	// anyFault has the times in which an entry does not run as usual, and aborts those
+	// in which it may leave requests without an answer.
+	anyFault, aborts disturbances
+
+	mu     sync.Mutex
+	routes []versionRoute
+	found  []string
+}
+
+func (s *seriesSoak) fail(format string, values ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.found = append(s.found, fmt.Sprintf(format, values...))
+}
+
+// signalEntry sends a signal to an entry and returns when the entry is ready again.
+func (s *seriesSoak) signalEntry(e *soakEntry, sig syscall.Signal) {
+	defer s.anyFault.begin(e)()
+	if sig == syscall.SIGKILL {
+		defer s.aborts.begin(e)()
+	}
+	before := e.process()
+	e.signal(sig)
+	for end := time.Now().Add(soakRecoveryTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if e.process() != before && s.isReady(e) {
+			return
+		}
+	}
+}
+
+// pauseEntry stops an entry's process for a time.
+func (s *seriesSoak) pauseEntry(e *soakEntry, pause time.Duration) {
+	defer s.anyFault.begin(e)()
+	defer s.aborts.begin(e)()
+	e.signal(syscall.SIGSTOP)
+	time.Sleep(pause)
+	e.signal(syscall.SIGCONT)
+}
+
+// changeConfiguration stores a version of the configuration with a route of its own, and
+// without the one that an earlier version added.
+func (s *seriesSoak) changeConfiguration() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	name := fmt.Sprintf("route-%d", len(s.routes))
+	s.routes = append(s.routes, versionRoute{name: name})
+	dropped := max(len(s.routes)-maxVersionRoutes, 0)
+	var added []string
+	for _, r := range s.routes[dropped:] {
+		added = append(added, r.name)
+	}
+	s.setAddedRoutes(added)
+	now := time.Now()
+	s.routes[len(s.routes)-1].addedAt = now
+	if dropped > 0 {
+		s.routes[dropped-1].droppedAt = now
+	}
+}
+
+// inSeries calls f a random number of times with random pauses.
+func inSeries(r *rand.Rand, f func(r *rand.Rand)) {
+	for range 2 + r.IntN(seriesMaxLength-1) {
+		f(r)
+		time.Sleep(time.Duration(r.Int64N(int64(seriesMaxGap))))
+	}
+}
+
+// seriesFault is one kind of fault; inject returns once the fault is over.
+type seriesFault struct {
+	name   string
+	inject func(s *seriesSoak, r *rand.Rand)
+}
+
+var seriesFaults = []seriesFault{
+	{"entries stopped one after the other", func(s *seriesSoak, r *rand.Rand) {
+		var all sync.WaitGroup
+		inSeries(r, func(r *rand.Rand) {
+			e := randomEntry(s.soakRun, r)
+			all.Go(func() { s.signalEntry(e, syscall.SIGTERM) })
+		})
+		all.Wait()
+	}},
+	{"an entry told to stop again and again", func(s *seriesSoak, r *rand.Rand) {
+		e := randomEntry(s.soakRun, r)
+		var all sync.WaitGroup
+		inSeries(r, func(*rand.Rand) { all.Go(func() { s.signalEntry(e, syscall.SIGTERM) }) })
+		all.Wait()
+	}},
+	{"an entry killed as it starts", func(s *seriesSoak, r *rand.Rand) {
+		e := randomEntry(s.soakRun, r)
+		var all sync.WaitGroup
+		inSeries(r, func(*rand.Rand) { all.Go(func() { s.signalEntry(e, syscall.SIGKILL) }) })
+		all.Wait()
+	}},
+	{"settings changed before, during and after a stop", func(s *seriesSoak, r *rand.Rand) {
+		e := randomEntry(s.soakRun, r)
+		delay := time.Duration(r.Int64N(int64(seriesMaxGap)))
+		var stopping sync.WaitGroup
+		stopping.Go(func() {
+			time.Sleep(delay)
+			s.signalEntry(e, syscall.SIGTERM)
+		})
+		inSeries(r, func(*rand.Rand) {
+			s.writeSettings(e, soakRevocationLimit)
+			e.signal(syscall.SIGHUP)
+		})
+		stopping.Wait()
+	}},
+	{"entries paused", func(s *seriesSoak, r *rand.Rand) {
+		inSeries(r, func(r *rand.Rand) {
+			s.pauseEntry(randomEntry(s.soakRun, r), randomDuration(r, 50*time.Millisecond, 1500*time.Millisecond))
+		})
+	}},
+	{"configurations in quick succession", func(s *seriesSoak, r *rand.Rand) {
+		inSeries(r, func(*rand.Rand) { s.changeConfiguration() })
+	}},
+	{"store down and up", func(s *seriesSoak, r *rand.Rand) {
+		for _, e := range s.entries {
+			defer s.anyFault.begin(e)()
+		}
+		inSeries(r, func(r *rand.Rand) {
+			s.store.SetFailureStatus(http.StatusServiceUnavailable)
+			time.Sleep(randomDuration(r, 50*time.Millisecond, time.Second))
+			s.store.SetFailureStatus(0)
+		})
+	}},
+	{"targets replaced", func(s *seriesSoak, r *rand.Rand) {
+		inSeries(r, func(r *rand.Rand) { s.addTarget([]string{"bells", "drafts"}[r.IntN(2)]) })
+	}},
+}
+
+// injectFaults injects series of faults until the given time. They overlap, also with
+// those of their own kind.
+func (s *seriesSoak) injectFaults(until time.Time) {
+	var all sync.WaitGroup
+	for time.Now().Before(until) {
+		time.Sleep(time.Duration(s.random.Int64N(int64(2 * seriesMaxGap))))
+		f, r := seriesFaults[s.random.IntN(len(seriesFaults))], rand.New(rand.NewPCG(s.random.Uint64(), 2))
+		s.faults = append(s.faults, f.name)
+		all.Go(func() { f.inject(s, r) })
+	}
+	all.Wait()
+}
+
+// runOpenConnections sends requests on connections that stay open until the entry closes
+// them, whatever it has announced.
+func (s *seriesSoak) runOpenConnections(until time.Time) {
+	var all sync.WaitGroup
+	for n := range soakCallerCount {
+		r := rand.New(rand.NewPCG(s.seed, uint64(n)+5))
+		all.Go(func() {
+			for time.Now().Before(until) {
+				e := randomEntry(s.soakRun, r)
+				conn, err := net.DialTimeout("tcp", e.trafficAddress, time.Second)
+				if err != nil {
+					time.Sleep(soakRestartDelay)
+					continue
+				}
+				s.useConnection(conn, e, until, r)
+				_ = conn.Close()
+			}
+		})
+	}
+	all.Wait()
+}
+
+// useConnection sends requests on a connection until it breaks.
+func (s *seriesSoak) useConnection(conn net.Conn, e *soakEntry, until time.Time, r *rand.Rand) {
+	reader := bufio.NewReader(conn)
+	for isOpen := true; isOpen && time.Now().Before(until); {
+		a := soakAttempt{id: fmt.Sprintf("a-%d", s.lastAttempt.Add(1)), apiKey: soakKey, streaming: r.IntN(2) == 0, sentAt: time.Now()}
+		isOpen = s.exchange(conn, reader, &a) == nil
+		s.record(a)
+		if (a.status == 0 || !a.complete) && s.runCounts.count(a.id) > 0 && s.aborts.isUndisturbed(e, a.sentAt, time.Now()) {
+			s.fail("%s (stream %v, status %d): %s passed it on and closed its connection without the whole answer", a.id, a.streaming, a.status, e.name)
+		}
+		time.Sleep(time.Duration(r.IntN(30)) * time.Millisecond)
+	}
+}
+
+// exchange sends a request on a connection and reads the answer.
+func (s *seriesSoak) exchange(conn net.Conn, reader *bufio.Reader, a *soakAttempt) error {
+	request := s.newRequest(*a, conn.RemoteAddr().String(), soakPath(a.streaming))
+	if err := conn.SetDeadline(time.Now().Add(soakRecoveryTimeout)); err != nil {
+		return err
+	}
+	if err := request.Write(conn); err != nil {
+		return err
+	}
+	response, err := http.ReadResponse(reader, request)
+	if err != nil {
+		return err
+	}
+	a.status, a.hasSignature = response.StatusCode, response.Header.Get("Server-Signature") != ""
+	body, err := io.ReadAll(response.Body)
+	a.body, a.complete = string(body), err == nil
+	return err
+}
+
+// probeRoutes asks for routes that versions of the configuration added and dropped,
+// until the given time.
+func (s *seriesSoak) probeRoutes(until time.Time) {
+	r := rand.New(rand.NewPCG(s.seed, 4))
+	client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for ; time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		s.mu.Lock()
+		route := versionRoute{}
+		if len(s.routes) > 0 {
+			route = s.routes[max(len(s.routes)-1-r.IntN(2*maxVersionRoutes), 0)]
+		}
+		s.mu.Unlock()
+		now, e := time.Now(), randomEntry(s.soakRun, r)
+		isAdded, isDropped := now.Sub(route.addedAt) > configPropagation, now.Sub(route.droppedAt) > configPropagation
+		switch {
+		case route.name == "" || !s.anyFault.isUndisturbed(e, now.Add(-stabilityWindow), now):
+		case route.droppedAt.IsZero() && isAdded:
+			s.probe(client, e, route.name, now, func(status, _ int) bool { return status != http.StatusNotFound && status != http.StatusUnauthorized })
+		case !route.droppedAt.IsZero() && isDropped:
+			s.probe(client, e, route.name, now, func(_, runs int) bool { return runs == 0 })
+		}
+	}
+}
+
+// probe sends a request on a route and checks its outcome, unless the entry was
+// disturbed or the route dropped meanwhile.
+func (s *seriesSoak) probe(client *http.Client, e *soakEntry, route string, now time.Time, isAllowed func(status, runs int) bool) {
+	a := soakAttempt{id: fmt.Sprintf("p-%d", s.lastAttempt.Add(1)), apiKey: soakKey}
+	response, err := client.Do(s.newRequest(a, e.trafficAddress, "/"+route+"/x"))
+	if err != nil {
+		return
+	}
+	_ = response.Body.Close()
+	if !s.anyFault.isUndisturbed(e, now, time.Now()) || isAllowed(response.StatusCode, s.runCounts.count(a.id)) {
+		return
+	}
+	s.mu.Lock()
+	for _, r := range s.routes {
+		if r.name == route && r.droppedAt.After(now) {
+			response.StatusCode = 0
+		}
+	}
+	s.mu.Unlock()
+	if response.StatusCode != 0 {
+		s.fail("%s: %s got %d, %d runs, from an entry in good order more than %s after the change", e.name, route, response.StatusCode, s.runCounts.count(a.id), configPropagation)
+	}
+}
+
+// TestSoakSeries injects series of signals, restarts and changes that overlap, while
+// callers use their connections until these are closed. SEEDS=n runs n seeds, SEED=n
+// only that seed, ENTRIES=n sets the number of entries.
+func TestSoakSeries(t *testing.T) {
+	for _, seed := range seeds(1) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := &seriesSoak{soakRun: newSoakRun(t, seed, soakRevocationLimit)}
+			until := time.Now().Add(seriesSoakPeriod)
+			var running sync.WaitGroup
+			running.Go(func() { s.runOpenConnections(until) })
+			running.Go(func() { s.probeRoutes(until) })
+			s.injectFaults(until)
+			running.Wait()
+			s.eventually("every entry is ready", s.allReady)
+			calmFrom := len(s.attempts)
+			served, sent := s.runCallers(time.Now().Add(soakCalmPeriod))
+			time.Sleep(soakSettleDelay)
+			t.Logf("seed %d: %d series, %d versions, %d requests on open connections, after the faults %d of %d served: %s", seed, len(s.faults), len(s.routes), calmFrom, served, sent, strings.Join(s.faults, ", "))
+			s.c.Check(s.found, qt.HasLen, 0)
+			s.c.Check(s.findViolations(), qt.HasLen, 0)
+			if served*10 < sent*9 {
+				s.printUnserved(calmFrom)
+			}
+			s.c.Check(served*10 >= sent*9, qt.IsTrue, qt.Commentf("served %d of %d after the faults", served, sent))
+			s.checkLogs()
+		})
+	}
+}
+
+// TestRepeatedStopCutsNoStream tells an entry to stop again and again while it passes on
+// a stream.
+func TestRepeatedStopCutsNoStream(t *testing.T) {
+	s := newSoakRun(t, 1, soakRevocationLimit)
+	e := s.entries[0]
+	var stopping sync.WaitGroup
+	stopping.Go(func() {
+		s.eventually("a target runs the request", func() bool { return s.runCounts.count("a-1") > 0 })
+		for range seriesMaxLength {
+			e.signal(syscall.SIGTERM)
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+	a := s.sendRequest(http.DefaultClient, e.trafficAddress, true, soakKey)
+	stopping.Wait()
+	s.c.Check(a.complete, qt.IsTrue, qt.Commentf("status %d: %s", a.status, a.body))
+	s.c.Check(s.findViolations(), qt.HasLen, 0)
+}
--- a/cmd/standin/soak_targets_test.go
+++ b/cmd/standin/soak_targets_test.go
@@ -41,10 +41,6 @@
 	entry  *soakEntry
 }
 
-// disturbance is a time in which an entry does not run as usual; end is zero while it
-// lasts.
-type disturbance struct{ start, end time.Time }
-
 // pauseRequest is a target's refusal with a time.
 type pauseRequest struct {
 	at    time.Time
@@ -58,8 +54,8 @@
 
 	mu   sync.Mutex
 	sent map[string]sentRequest
-	// disturbed lists the times in which each entry was paused, stopped or killed.
-	disturbed map[*soakEntry][]*disturbance
+	// disturbed has the times in which entries were paused, stopped or killed.
+	disturbed disturbances
 	leaving   map[string]bool
 	// busyFor is the pause that a target asks for with each refusal.
 	busyFor map[string]time.Duration
@@ -80,7 +76,7 @@
 	key := targetEntry{t.target.ID, request.entry}
 	now := time.Now()
 	s.arrivals[key] = append(s.arrivals[key], sentRequest{request.entry, now})
-	if at, isAnnounced := s.announced[key]; isAnnounced && request.at.Sub(at) > drainPeriod && s.isUndisturbed(request.entry, at, now) {
+	if at, isAnnounced := s.announced[key]; isAnnounced && request.at.Sub(at) > drainPeriod && s.disturbed.isUndisturbed(request.entry, at, now) {
 		s.t.Errorf("%s: a request that %s got %s after it passed on that the target is leaving", t.target.ID, request.entry.name, request.at.Sub(at))
 	}
 	if s.leaving[t.target.ID] {
@@ -113,29 +109,6 @@
 	}
 }
 
-// isUndisturbed reports whether an entry ran from one time to another.
-func (s *targetSoak) isUndisturbed(e *soakEntry, from, to time.Time) bool {
-	for _, d := range s.disturbed[e] {
-		if d.start.Before(to) && (d.end.IsZero() || d.end.After(from)) {
-			return false
-		}
-	}
-	return true
-}
-
-// disturb records that an entry is disturbed until the returned function is called.
-func (s *targetSoak) disturb(e *soakEntry) (end func()) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	d := &disturbance{start: time.Now()}
-	s.disturbed[e] = append(s.disturbed[e], d)
-	return func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		d.end = time.Now()
-	}
-}
-
 // checkPauses checks that no target got more requests than allowed while it had asked an
 // undisturbed entry for a pause.
 func (s *targetSoak) checkPauses() {
@@ -147,7 +120,7 @@
 					count++
 				}
 			}
-			if count > maxBackoffArrivals && s.isUndisturbed(key.entry, p.at, p.until) {
+			if count > maxBackoffArrivals && s.disturbed.isUndisturbed(key.entry, p.at, p.until) {
 				s.t.Errorf("%s: %d requests of %s while it had asked for a pause of %s", key.target, count, key.entry.name, p.until.Sub(p.at))
 			}
 		}
@@ -163,7 +136,7 @@
 	}
 	late := 0
 	for _, a := range arrivals {
-		if a.at.Sub(arrivals[tolerated-1].at) > crashWindow && s.isUndisturbed(a.entry, a.at.Add(-crashWindow), a.at) {
+		if a.at.Sub(arrivals[tolerated-1].at) > crashWindow && s.disturbed.isUndisturbed(a.entry, a.at.Add(-crashWindow), a.at) {
 			late++
 		}
 	}
@@ -184,7 +157,7 @@
 
 // signalEntry signals an entry, which is disturbed for a time.
 func (s *targetSoak) signalEntry(e *soakEntry, sig syscall.Signal, restart time.Duration) {
-	defer s.disturb(e)()
+	defer s.disturbed.begin(e)()
 	e.signal(sig)
 	time.Sleep(restart)
 }
@@ -198,7 +171,7 @@
 	}},
 	{"entry paused", func(s *targetSoak, r *rand.Rand) {
 		e := randomEntry(s.soakRun, r)
-		defer s.disturb(e)()
+		defer s.disturbed.begin(e)()
 		e.signal(syscall.SIGSTOP)
 		time.Sleep(randomDuration(r, 200*time.Millisecond, 3*time.Second))
 		e.signal(syscall.SIGCONT)
@@ -298,7 +271,7 @@
 	for _, seed := range seeds(2) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			s := &targetSoak{
-				random: rand.New(rand.NewPCG(seed, 11)), sent: map[string]sentRequest{}, disturbed: map[*soakEntry][]*disturbance{},
+				random: rand.New(rand.NewPCG(seed, 11)), sent: map[string]sentRequest{},
 				leaving: map[string]bool{}, busyFor: map[string]time.Duration{}, announced: map[targetEntry]time.Time{},
 				arrivals: map[targetEntry][]sentRequest{}, pauses: map[targetEntry][]pauseRequest{}, deadly: map[string][]sentRequest{},
 			}
--- a/cmd/standin/soak_test.go
+++ b/cmd/standin/soak_test.go
@@ -31,8 +31,8 @@
 // targets observe.
 
 const (
-	soakEntryCount  = 3
-	soakCallerCount = 16
+	defaultEntryCount = 3
+	soakCallerCount   = 16
 	// soakFaultPeriod is how long faults are injected, soakMaxFaultGap the longest
 	// time between two of them.
 	soakFaultPeriod = 9 * time.Second
@@ -112,9 +112,11 @@
 	entries      []*soakEntry
 	targetRelays []*relay
 
-	mu           sync.Mutex
-	gapGoal      time.Duration
-	version      int
+	mu      sync.Mutex
+	gapGoal time.Duration
+	version int
+	// addedRoutes are routes of idempotent requests, beside those that are always there.
+	addedRoutes  []string
 	keys         []string
 	keyRemovedAt time.Time
 	attempts     []soakAttempt
@@ -123,6 +125,18 @@
 	lastAttempt  atomic.Int64
 }
 
+// entryCount returns the number of entries of a run, which ENTRIES sets.
+func entryCount() int {
+	if n, err := strconv.Atoi(os.Getenv("ENTRIES")); err == nil {
+		return n
+	}
+	return defaultEntryCount
+}
+
+// addressesPerBlock is how many entries have addresses that differ in the last number
+// only.
+const addressesPerBlock = 200
+
 // newSoakRun starts the entries and targets of a run. The entries are configured to
 // accept removed keys for the given time.
 func newSoakRun(t *testing.T, seed uint64, revocation time.Duration) *soakRun {
@@ -145,8 +159,8 @@
 		s.addTarget([]string{"bells", "drafts"}[n%2])
 	}
 	traffic, ready, internal := freePort(), freePort(), freePort()
-	for n := range soakEntryCount {
-		ip := fmt.Sprintf("127.0.0.%d", 2+n)
+	for n := range entryCount() {
+		ip := fmt.Sprintf("127.0.%d.%d", n/addressesPerBlock, 2+n%addressesPerBlock)
 		e := &soakEntry{name: fmt.Sprintf("entry-%d", n), ip: ip, trafficAddress: net.JoinHostPort(ip, traffic), readyAddress: net.JoinHostPort(ip, ready), internalPort: internal}
 		e.storeRelay, _ = s.relayTo(strings.TrimPrefix(store.URL, "http://"))
 		e.settingsPath = filepath.Join(s.dir, e.name+".json")
@@ -251,18 +265,22 @@
 
 func (s *soakRun) allReady() bool {
 	for _, e := range s.entries {
-		response, err := http.Get("http://" + e.readyAddress + adapter.ReadyPath)
-		if err != nil {
-			return false
-		}
-		_ = response.Body.Close()
-		if response.StatusCode != http.StatusOK {
+		if !s.isReady(e) {
 			return false
 		}
 	}
 	return true
 }
 
+func (s *soakRun) isReady(e *soakEntry) bool {
+	response, err := http.Get("http://" + e.readyAddress + adapter.ReadyPath)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
 // eventually waits until a condition is met and fails the test if this takes longer
 // than soakRecoveryTimeout.
 func (s *soakRun) eventually(description string, isMet func() bool) {
@@ -274,8 +292,16 @@
 	s.c.Fatalf("condition not met within %s: %s", soakRecoveryTimeout, description)
 }
 
+// setAddedRoutes stores a new version of the configuration with other added routes.
+func (s *soakRun) setAddedRoutes(names []string) {
+	s.mu.Lock()
+	s.addedRoutes = names
+	s.mu.Unlock()
+	s.writeConfiguration()
+}
+
 // writeConfiguration stores a new version of the configuration with the current
-// keys.
+// keys and added routes.
 func (s *soakRun) writeConfiguration() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -286,9 +312,13 @@
 			"maxAttempts": targets, "timeoutMs": 4000, "targetLatencyMs": 500, "gapAimMs": s.gapGoal.Milliseconds(), "streamResumption": kind == "streaming",
 		}
 	}
+	routes := []any{route("order", "non_idempotent", "bells", 1), route("draft", "streaming", "drafts", 2)}
+	for _, name := range s.addedRoutes {
+		routes = append(routes, route(name, "idempotent", "bells", 2))
+	}
 	s.store.Put("config", "main", map[string]any{
 		"version":  s.version,
-		"routes":   []any{route("order", "non_idempotent", "bells", 1), route("draft", "streaming", "drafts", 2)},
+		"routes":   routes,
 		"services": []any{map[string]any{"name": "bells"}, map[string]any{"name": "drafts"}},
 		"limits":   map[string]any{"idleTimeoutMs": 15000},
 		"tenants":  []any{map[string]any{"name": "guild", "apiKeys": s.keys}},
@@ -328,16 +358,7 @@
 // sendRequest sends one request to an entry and records the reply.
 func (s *soakRun) sendRequest(client *http.Client, entry string, stream bool, key string) soakAttempt {
 	a := soakAttempt{id: fmt.Sprintf("a-%d", s.lastAttempt.Add(1)), apiKey: key, streaming: stream}
-	path := "/order/x"
-	if stream {
-		path = "/draft/x"
-	}
-	request, err := http.NewRequest(http.MethodPost, "http://"+entry+path, strings.NewReader("strike"))
-	s.c.Assert(err, qt.IsNil)
-	request.Host = "guild.example"
-	request.Header.Set("Attempt-Id", a.id)
-	request.Header.Set("Deadline-Ms", "3000")
-	request.Header.Set("Authorization", "Token "+key)
+	request := s.newRequest(a, entry, soakPath(stream))
 	a.sentAt = time.Now()
 	if response, err := client.Do(request); err == nil {
 		body, err := io.ReadAll(response.Body)
@@ -348,10 +369,33 @@
 			a.retryAfter = time.Duration(seconds * float64(time.Second))
 		}
 	}
+	s.record(a)
+	return a
+}
+
+// soakPath returns the path of an order or of a stream.
+func soakPath(stream bool) string {
+	if stream {
+		return "/draft/x"
+	}
+	return "/order/x"
+}
+
+// newRequest returns the request of an attempt to an entry.
+func (s *soakRun) newRequest(a soakAttempt, entry, path string) *http.Request {
+	request, err := http.NewRequest(http.MethodPost, "http://"+entry+path, strings.NewReader("strike"))
+	s.c.Assert(err, qt.IsNil)
+	request.Host = "guild.example"
+	request.Header.Set("Attempt-Id", a.id)
+	request.Header.Set("Deadline-Ms", "3000")
+	request.Header.Set("Authorization", "Token "+a.apiKey)
+	return request
+}
+
+func (s *soakRun) record(a soakAttempt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.attempts = append(s.attempts, a)
-	return a
 }
 
 // runCallers runs callers that send requests over keep-alive connections until the
--- a/cmd/standin/twin.go
+++ b/cmd/standin/twin.go
@@ -92,6 +92,6 @@
 		return err
 	}
 	log := process.NewLogger(*s)
-	process.Run(newDaemon(log, l), log, nil)
+	process.Run(newDaemon(log, l), log, process.Signals{}.Defaults())
 	return nil
 }
--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -29,7 +29,7 @@
 	ProcessStarted           = declare(1001, hclog.Info, "process started")
 	ProcessDraining          = declare(1002, hclog.Info, "draining: accepting no new requests, completing those in flight")
 	ProcessStopped           = declare(1003, hclog.Info, "process stopped")
-	ProcessAborted           = declare(1004, hclog.Warn, "second signal: stopping without waiting for requests in flight")
+	ProcessAborted           = declare(1004, hclog.Warn, "signal during the drain: stopping without waiting for requests in flight")
 	ListenerFailed           = declare(1005, hclog.Error, "listener failed")
 	SettingsChanged          = declare(1006, hclog.Info, "settings file changed: new limits applied")
 	SettingsInvalid          = declare(1007, hclog.Error, "settings file is invalid: the last valid settings stay in force")
--- a/internal/transport/process/run.go
+++ b/internal/transport/process/run.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"github.com/hashicorp/go-hclog"
@@ -18,18 +19,32 @@
 	Close()
 }
 
-// Run waits for SIGTERM or SIGINT and stops the daemon. The first signal drains it
-// without a time limit, and a second one closes it at once. SIGHUP calls reload; if
-// reload is nil, SIGHUP keeps its default effect and terminates the process.
-func Run(d Daemon, log hclog.Logger, reload func()) {
+// Signals sets what signals do, apart from the first SIGTERM or SIGINT, which drains.
+type Signals struct {
+	// Reload is called at SIGHUP; nil keeps its default effect, which ends the process.
+	Reload func()
+	// Abort lists the signals that end the process at once while it drains. Others do
+	// nothing then.
+	Abort []os.Signal
+}
+
+// Defaults returns the signals of a process that drains without a time limit: a second
+// SIGTERM or SIGINT ends it at once.
+func (Signals) Defaults() Signals {
+	return Signals{Abort: []os.Signal{syscall.SIGTERM, syscall.SIGINT}}
+}
+
+// Run waits for SIGTERM or SIGINT and stops the daemon. It waits until the daemon has
+// drained, unless a signal aborts that.
+func Run(d Daemon, log hclog.Logger, s Signals) {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	if reload != nil {
+	if s.Reload != nil {
 		hangups := make(chan os.Signal, 1)
 		signal.Notify(hangups, syscall.SIGHUP)
 		go func() {
 			for range hangups {
-				reload()
+				s.Reload()
 			}
 		}()
 	}
@@ -40,15 +55,28 @@
 		d.Drain()
 		close(drained)
 	}()
-	select {
-	case <-drained:
-	case <-signals:
+	if !waitForDrain(drained, signals, s.Abort) {
 		event.ProcessAborted.Log(log)
 	}
 	d.Close()
 	event.ProcessStopped.Log(log)
 }
 
+// waitForDrain waits until the daemon has drained, and returns false if one of the
+// signals in abort arrives first.
+func waitForDrain(drained <-chan struct{}, signals <-chan os.Signal, abort []os.Signal) bool {
+	for {
+		select {
+		case <-drained:
+			return true
+		case received := <-signals:
+			if slices.Contains(abort, received) {
+				return false
+			}
+		}
+	}
+}
+
 // NewLogger returns a logger to standard error with the instance ID as its name.
 func NewLogger(s Settings) hclog.Logger {
 	return hclog.New(&hclog.LoggerOptions{
