SIGHUP while a process starts does not end it

What was seen: a settings change that is signalled while gateway or rank starts ends the process, as the default effect of SIGHUP is; the platform starts it again after a delay. In the first 9 ms after the start on an idle machine, longer where the processor is shared.

Cause: the signal was handled only once the daemon ran. It is ignored from the first step on now, and the settings are read after that; what changes later is found by the regular check of the file.

Evidence: TestHangupDuringTheStart failed before ("signal: hangup"). Signals in the first 7 ms, before the program's own code runs, still end it.

--- a/cmd/bluebellcrank/gateway.go
+++ b/cmd/bluebellcrank/gateway.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"strconv"
 	"syscall"
@@ -44,6 +45,13 @@
 // Help implements kong.HelpProvider.
 func (gatewayCmd) Help() string { return usageGateway }
 
+// startSettings is platformSettings for a process that starts. Until process.Run reloads
+// the settings at SIGHUP, that signal is ignored: by default it ends the process.
+func startSettings() (instance.Settings, error) {
+	signal.Ignore(syscall.SIGHUP)
+	return platformSettings()
+}
+
 // platformSettings reads the settings file whose path is in the environment
 // variable platform.SettingsVariable.
 func platformSettings() (instance.Settings, error) {
@@ -98,7 +106,7 @@
 
 // Run implements the subcommand.
 func (c *gatewayCmd) Run() error {
-	settings, err := platformSettings()
+	settings, err := startSettings()
 	if err != nil {
 		return err
 	}
--- a/cmd/bluebellcrank/rank.go
+++ b/cmd/bluebellcrank/rank.go
@@ -24,7 +24,7 @@
 
 // Run implements the subcommand.
 func (c *rankCmd) Run() error {
-	settings, err := platformSettings()
+	settings, err := startSettings()
 	if err != nil {
 		return err
 	}
--- a/cmd/standin/soak_series_test.go
+++ b/cmd/standin/soak_series_test.go
@@ -7,6 +7,9 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -14,6 +17,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	adapter "bluebellcrank/platform"
 )
 
 const (
@@ -338,3 +343,21 @@
 	s.c.Check(a.complete, qt.IsTrue, qt.Commentf("status %d: %s", a.status, a.body))
 	s.c.Check(s.findViolations(), qt.HasLen, 0)
 }
+
+// TestHangupDuringTheStart sends SIGHUP to an entry that is about to read its settings.
+func TestHangupDuringTheStart(t *testing.T) {
+	c := qt.New(t)
+	settings := filepath.Join(t.TempDir(), "settings.json")
+	c.Assert(syscall.Mkfifo(settings, 0o600), qt.IsNil)
+	cmd := exec.Command(filepath.Join(binaryDir, "bluebellcrank"), "gateway", "--operator-port=0")
+	cmd.Env = append(os.Environ(), adapter.SettingsVariable+"="+settings)
+	c.Assert(cmd.Start(), qt.IsNil)
+	// Open returns once the entry opens the other end.
+	writer, err := os.OpenFile(settings, os.O_WRONLY, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(cmd.Process.Signal(syscall.SIGHUP), qt.IsNil)
+	_, err = writer.WriteString("{}")
+	c.Check(err, qt.IsNil)
+	c.Check(writer.Close(), qt.IsNil)
+	c.Check(cmd.Wait(), qt.ErrorMatches, "exit status 1", qt.Commentf("the entry ends because its settings contain no address"))
+}
