The soaks share their checks and requests

TestSoak, TestSoakSeries and the tests of crashing requests built requests, and the first two checked a run, each with lines of their own. The checks of a run are in a file of their own, and the bounds, seeds and schedules as before.

Seed 1 of TestSoak, TestSoakSeries and TestSoakTargets, TestSoakTwin and TestPromptPartThatCrashesTargets pass with the race detector.

--- a/cmd/standin/crash_test.go
+++ b/cmd/standin/crash_test.go
@@ -195,17 +195,8 @@
 
 // send sends one request to an entry.
 func (c *crashRun) send(client *http.Client, e *soakEntry, stream bool, body, parts string) soakAttempt {
-	a := soakAttempt{id: fmt.Sprintf("c-%d", c.lastAttempt.Add(1)), streaming: stream}
-	path := "/order/x"
-	if stream {
-		path = "/draft/x"
-	}
-	request, err := http.NewRequest(http.MethodPost, "http://"+e.trafficAddress+path, strings.NewReader(body))
-	c.c.Assert(err, qt.IsNil)
-	request.Host = "guild.example"
-	request.Header.Set("Attempt-Id", a.id)
-	request.Header.Set("Deadline-Ms", "3000")
-	request.Header.Set("Authorization", "Token "+soakKey)
+	a := soakAttempt{id: fmt.Sprintf("c-%d", c.lastAttempt.Add(1)), apiKey: soakKey, streaming: stream}
+	request := c.newRequest(a, e.trafficAddress, soakPath(stream), body)
 	if parts != "" {
 		request.Header.Set("Prompt-Prefix", parts)
 	}
--- /dev/null
+++ b/cmd/standin/soak_check_test.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// checkAfterFaults runs callers once every entry is ready, and checks that at least nine
+// of ten of their requests are served. It also checks the attempts and the logs of the
+// whole run.
+func (s *soakRun) checkAfterFaults() {
+	s.eventually("every entry is ready", s.allReady)
+	calmFrom := len(s.attempts)
+	served, sent := s.runCallers(time.Now().Add(soakCalmPeriod))
+	time.Sleep(soakSettleDelay)
+	s.t.Logf("after the faults %d of %d served", served, sent)
+	s.c.Check(s.findViolations(), qt.HasLen, 0)
+	if served*10 < sent*9 {
+		s.printUnserved(calmFrom)
+	}
+	s.c.Check(served*10 >= sent*9, qt.IsTrue, qt.Commentf("served %d of %d after the faults", served, sent))
+	s.checkLogs()
+}
+
+// findViolations describes the attempts that violate a guarantee.
+func (s *soakRun) findViolations() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var violations []string
+	fail := func(a soakAttempt, why string) {
+		violations = append(violations, fmt.Sprintf("%s (stream %v, status %d, %d runs): %s", a.id, a.streaming, a.status, s.runCounts.count(a.id), why))
+	}
+	for _, a := range s.attempts {
+		runCount := s.runCounts.count(a.id)
+		switch {
+		case !a.streaming && runCount > 1:
+			fail(a, "a non-idempotent request ran more than once")
+		case a.status == http.StatusServiceUnavailable && runCount > 0 && !a.streaming:
+			fail(a, "reported as not run, but ran")
+		case a.status == http.StatusOK && !a.hasSignature:
+			fail(a, "a success without a target's signature")
+		case a.status == http.StatusOK && a.complete && !a.streaming && a.body != "struck for "+a.id:
+			fail(a, "the answer belongs to another request: "+a.body)
+		case a.status == http.StatusOK && !isExpectedStream(a.body, a.complete) && a.streaming:
+			fail(a, "events are missing or duplicated: "+a.body)
+		case a.apiKey == soakRemovedKey && !s.keyRemovedAt.IsZero() && a.sentAt.Sub(s.keyRemovedAt) > soakRevocationLimit && runCount > 0:
+			fail(a, "ran with a key that was removed "+a.sentAt.Sub(s.keyRemovedAt).String()+" earlier")
+		}
+	}
+	return violations
+}
+
+// isExpectedStream reports whether a body holds all events in order or, if it is
+// not complete, the beginning of them.
+func isExpectedStream(body string, complete bool) bool {
+	var want strings.Builder
+	for n := 1; n <= soakEventCount; n++ {
+		fmt.Fprintf(&want, "id: %d\ndata: piece %d\n\n", n, n)
+	}
+	return body == want.String() || !complete && strings.HasPrefix(want.String(), body)
+}
+
+// printUnserved prints the attempts with the valid key that were not served, from a
+// given one on.
+func (s *soakRun) printUnserved(from int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.attempts[from:] {
+		if a.apiKey == soakKey && (a.status != http.StatusOK || !a.complete) {
+			s.t.Logf("%s at %s: stream %v, status %d, complete %v, retry after %s: %s", a.id, a.sentAt.Format(time.StampMicro), a.streaming, a.status, a.complete, a.retryAfter, a.body)
+		}
+	}
+}
+
+// checkLogs fails the test if an entry logged a data race or a panic, and prints
+// the entries' logs of a failed run.
+func (s *soakRun) checkLogs() {
+	for _, e := range s.entries {
+		content, err := os.ReadFile(filepath.Join(s.dir, e.name+".log"))
+		s.c.Check(err, qt.IsNil)
+		if strings.Contains(string(content), "DATA RACE") || strings.Contains(string(content), "panic:") {
+			s.t.Errorf("%s:\n%s", e.name, content)
+		}
+		if s.t.Failed() {
+			s.t.Logf("%s:\n%s", e.name, content)
+		}
+	}
+}
--- a/cmd/standin/soak_series_test.go
+++ b/cmd/standin/soak_series_test.go
@@ -231,7 +231,7 @@
 
 // exchange sends a request on a connection and reads the answer.
 func (s *seriesSoak) exchange(conn net.Conn, reader *bufio.Reader, a *soakAttempt) error {
-	request := s.newRequest(*a, conn.RemoteAddr().String(), soakPath(a.streaming))
+	request := s.newRequest(*a, conn.RemoteAddr().String(), soakPath(a.streaming), soakBody)
 	if err := conn.SetDeadline(time.Now().Add(soakRecoveryTimeout)); err != nil {
 		return err
 	}
@@ -276,7 +276,7 @@
 // disturbed or the route dropped meanwhile.
 func (s *seriesSoak) probe(client *http.Client, e *soakEntry, route string, now time.Time, isAllowed func(status, runs int) bool) {
 	a := soakAttempt{id: fmt.Sprintf("p-%d", s.lastAttempt.Add(1)), apiKey: soakKey}
-	response, err := client.Do(s.newRequest(a, e.trafficAddress, "/"+route+"/x"))
+	response, err := client.Do(s.newRequest(a, e.trafficAddress, "/"+route+"/x", soakBody))
 	if err != nil {
 		return
 	}
@@ -309,18 +309,9 @@
 			running.Go(func() { s.probeRoutes(until) })
 			s.injectFaults(until)
 			running.Wait()
-			s.eventually("every entry is ready", s.allReady)
-			calmFrom := len(s.attempts)
-			served, sent := s.runCallers(time.Now().Add(soakCalmPeriod))
-			time.Sleep(soakSettleDelay)
-			t.Logf("seed %d: %d series, %d versions, %d requests on open connections, after the faults %d of %d served: %s", seed, len(s.faults), len(s.routes), calmFrom, served, sent, strings.Join(s.faults, ", "))
+			t.Logf("seed %d: %d series, %d versions, %d requests on open connections: %s", seed, len(s.faults), len(s.routes), len(s.attempts), strings.Join(s.faults, ", "))
 			s.c.Check(s.found, qt.HasLen, 0)
-			s.c.Check(s.findViolations(), qt.HasLen, 0)
-			if served*10 < sent*9 {
-				s.printUnserved(calmFrom)
-			}
-			s.c.Check(served*10 >= sent*9, qt.IsTrue, qt.Commentf("served %d of %d after the faults", served, sent))
-			s.checkLogs()
+			s.checkAfterFaults()
 		})
 	}
 }
--- a/cmd/standin/soak_test.go
+++ b/cmd/standin/soak_test.go
@@ -50,6 +50,7 @@
 	soakSettleDelay = 1500 * time.Millisecond
 	// soakRevocationLimit is how long requests with a removed key may be served.
 	soakRevocationLimit = 5 * time.Second
+	soakBody            = "strike"
 	soakKey             = "key-of-guild"
 	soakRemovedKey      = "key-that-is-removed"
 	soakEventCount      = 20
@@ -358,7 +359,7 @@
 // sendRequest sends one request to an entry and records the reply.
 func (s *soakRun) sendRequest(client *http.Client, entry string, stream bool, key string) soakAttempt {
 	a := soakAttempt{id: fmt.Sprintf("a-%d", s.lastAttempt.Add(1)), apiKey: key, streaming: stream}
-	request := s.newRequest(a, entry, soakPath(stream))
+	request := s.newRequest(a, entry, soakPath(stream), soakBody)
 	a.sentAt = time.Now()
 	if response, err := client.Do(request); err == nil {
 		body, err := io.ReadAll(response.Body)
@@ -382,8 +383,8 @@
 }
 
 // newRequest returns the request of an attempt to an entry.
-func (s *soakRun) newRequest(a soakAttempt, entry, path string) *http.Request {
-	request, err := http.NewRequest(http.MethodPost, "http://"+entry+path, strings.NewReader("strike"))
+func (s *soakRun) newRequest(a soakAttempt, entry, path, body string) *http.Request {
+	request, err := http.NewRequest(http.MethodPost, "http://"+entry+path, strings.NewReader(body))
 	s.c.Assert(err, qt.IsNil)
 	request.Host = "guild.example"
 	request.Header.Set("Attempt-Id", a.id)
@@ -429,56 +430,6 @@
 	return int(servedCount.Load()), int(sentCount.Load())
 }
 
-// findViolations describes the attempts that violate a guarantee.
-func (s *soakRun) findViolations() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var violations []string
-	fail := func(a soakAttempt, why string) {
-		violations = append(violations, fmt.Sprintf("%s (stream %v, status %d, %d runs): %s", a.id, a.streaming, a.status, s.runCounts.count(a.id), why))
-	}
-	for _, a := range s.attempts {
-		runCount := s.runCounts.count(a.id)
-		switch {
-		case !a.streaming && runCount > 1:
-			fail(a, "a non-idempotent request ran more than once")
-		case a.status == http.StatusServiceUnavailable && runCount > 0 && !a.streaming:
-			fail(a, "reported as not run, but ran")
-		case a.status == http.StatusOK && !a.hasSignature:
-			fail(a, "a success without a target's signature")
-		case a.status == http.StatusOK && a.complete && !a.streaming && a.body != "struck for "+a.id:
-			fail(a, "the answer belongs to another request: "+a.body)
-		case a.status == http.StatusOK && !isExpectedStream(a.body, a.complete) && a.streaming:
-			fail(a, "events are missing or duplicated: "+a.body)
-		case a.apiKey == soakRemovedKey && !s.keyRemovedAt.IsZero() && a.sentAt.Sub(s.keyRemovedAt) > soakRevocationLimit && runCount > 0:
-			fail(a, "ran with a key that was removed "+a.sentAt.Sub(s.keyRemovedAt).String()+" earlier")
-		}
-	}
-	return violations
-}
-
-// isExpectedStream reports whether a body holds all events in order or, if it is
-// not complete, the beginning of them.
-func isExpectedStream(body string, complete bool) bool {
-	var want strings.Builder
-	for n := 1; n <= soakEventCount; n++ {
-		fmt.Fprintf(&want, "id: %d\ndata: piece %d\n\n", n, n)
-	}
-	return body == want.String() || !complete && strings.HasPrefix(want.String(), body)
-}
-
-// printUnserved prints the attempts with the valid key that were not served, from a
-// given one on.
-func (s *soakRun) printUnserved(from int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, a := range s.attempts[from:] {
-		if a.apiKey == soakKey && (a.status != http.StatusOK || !a.complete) {
-			s.t.Logf("%s at %s: stream %v, status %d, complete %v, retry after %s: %s", a.id, a.sentAt.Format(time.StampMicro), a.streaming, a.status, a.complete, a.retryAfter, a.body)
-		}
-	}
-}
-
 // TestSoak runs callers under the faults of each seed. No guarantee may be broken,
 // and at least nine of ten requests must be served after the faults. SEEDS=n runs n
 // seeds, SEED=n only that seed.
@@ -491,17 +442,8 @@
 			injecting.Go(func() { s.injectFaults(until) })
 			served, sent := s.runCallers(until)
 			injecting.Wait()
-			s.eventually("every entry is ready", s.allReady)
-			calmFrom := len(s.attempts)
-			calmServed, calmSent := s.runCallers(time.Now().Add(soakCalmPeriod))
-			time.Sleep(soakSettleDelay)
-			t.Logf("seed %d: %d faults, %d of %d served, after the faults %d of %d: %s", seed, len(s.faults), served, sent, calmServed, calmSent, strings.Join(s.faults, ", "))
-			s.c.Check(s.findViolations(), qt.HasLen, 0)
-			if calmServed*10 < calmSent*9 {
-				s.printUnserved(calmFrom)
-			}
-			s.c.Check(calmServed*10 >= calmSent*9, qt.IsTrue, qt.Commentf("served %d of %d after the faults", calmServed, calmSent))
-			s.checkLogs()
+			t.Logf("seed %d: %d faults, %d of %d served: %s", seed, len(s.faults), served, sent, strings.Join(s.faults, ", "))
+			s.checkAfterFaults()
 		})
 	}
 }
@@ -519,18 +461,3 @@
 	s.c.Assert(len(found) > 0, qt.IsTrue)
 	t.Logf("the checker noticed: %s", found[0])
 }
-
-// checkLogs fails the test if an entry logged a data race or a panic, and prints
-// the entries' logs of a failed run.
-func (s *soakRun) checkLogs() {
-	for _, e := range s.entries {
-		content, err := os.ReadFile(filepath.Join(s.dir, e.name+".log"))
-		s.c.Check(err, qt.IsNil)
-		if strings.Contains(string(content), "DATA RACE") || strings.Contains(string(content), "panic:") {
-			s.t.Errorf("%s:\n%s", e.name, content)
-		}
-		if s.t.Failed() {
-			s.t.Logf("%s:\n%s", e.name, content)
-		}
-	}
-}
