Crashes of requests with long prompts do not fill the memory

What could happen: a prompt of 2,000 parts, which the limit of a header allows, keeps 1,999 companions with each of its parts once its target ends: 32 MB for each such crash, of 112 to 206 MB that an entry has on most instances.

Cause: only reports of other entries were cut to 32 companions. An entry's own crashes are as well now. Companions only tell which part may be tried early.

Evidence: TestMemoryOfLongPrompts failed before (1999 companions).

--- a/internal/coordination/balance/member.go
+++ b/internal/coordination/balance/member.go
@@ -90,8 +90,8 @@
 }
 
 // isSuspended reports whether the target gets no request after failures or a
-// refusal, or because it asked for a pause. When the suspension for a failure ends, one request at a time probes
-// the target until it responds.
+// refusal, or because it asked for a pause. When the suspension for a failure ends,
+// one request at a time probes the target until it responds.
 func (m *member) isSuspended(now time.Time) bool {
 	return now.Before(m.suspendedUntil) || m.notice.backoffRemaining(now) > 0 || m.failures > 0 && m.inFlight > 0
 }
--- a/internal/coordination/quarantine/list.go
+++ b/internal/coordination/quarantine/list.go
@@ -71,12 +71,18 @@
 	}
 	out := l.update(s.Request, now, func(r *record) bool { return r.addCrash(c) })
 	for _, k := range parts {
-		c.companions = lo.Without(parts, k)
+		c.companions = companionsOf(k, parts)
 		out = out.and(l.update(k, now, func(r *record) bool { return r.addCrash(c) }))
 	}
 	return out
 }
 
+// companionsOf returns the other parts of a prompt, maxCompanions of them at most.
+func companionsOf(k Key, parts []Key) []Key {
+	others := lo.Without(parts[:min(len(parts), maxCompanions+1)], k)
+	return others[:min(len(others), maxCompanions)]
+}
+
 // RecordAnswer records that a target answered a request and did not end.
 func (l *List) RecordAnswer(s Suspect, now time.Duration) Changes {
 	for _, k := range s.Parts {
--- a/internal/coordination/quarantine/list_test.go
+++ b/internal/coordination/quarantine/list_test.go
@@ -153,6 +153,26 @@
 	c.Check(len(l.Reports(0, now)) <= maxReports, qt.IsTrue)
 }
 
+// TestMemoryOfLongPrompts has prompts of many parts crash targets.
+func TestMemoryOfLongPrompts(t *testing.T) {
+	const crashes, partCount = 3, 2000
+	c := qt.New(t)
+	l := NewList(0)
+	for n := range crashes {
+		s := Suspect{Request: Key(n + 1)}
+		for part := range partCount {
+			s.Parts = append(s.Parts, Key(100+n*partCount+part))
+		}
+		l.RecordCrash(s, true, time.Hour+time.Duration(n)*time.Second)
+	}
+	c.Check(len(l.records) <= maxRecords, qt.IsTrue, qt.Commentf("%d records", len(l.records)))
+	for _, r := range l.records {
+		for _, one := range r.crashes {
+			c.Assert(len(one.companions) <= maxCompanions, qt.IsTrue, qt.Commentf("%d companions", len(one.companions)))
+		}
+	}
+}
+
 // crashFleet plays entries and their targets in virtual time: requests of which some
 // have a deadly part, targets that end as they begin to answer it, targets that are
 // killed at times, and lists that are exchanged after a delay.
--- a/internal/coordination/quarantine/record.go
+++ b/internal/coordination/quarantine/record.go
@@ -15,6 +15,8 @@
 	coincidence = 250 * time.Millisecond
 	// maxCrashes bounds the crashes that a record keeps.
 	maxCrashes = 8
+	// maxCompanions bounds the companions that are kept with one crash.
+	maxCompanions = 32
 	// crashLifetime is how long a crash counts that does not suffice to blame the key.
 	crashLifetime = 10 * time.Minute
 	// weakWeight is the weight of a crash before the target began to answer the
--- a/internal/coordination/quarantine/report.go
+++ b/internal/coordination/quarantine/report.go
@@ -9,8 +9,6 @@
 const (
 	// maxReports bounds the keys that one entry reports to another.
 	maxReports = 512
-	// maxCompanions bounds the companions that are accepted with one crash.
-	maxCompanions = 32
 	// answerReportPeriod is how long an answer that ended a suspicion is reported.
 	answerReportPeriod = 30 * time.Second
 )
