--- a/Makefile
+++ b/Makefile
@@ -35,9 +35,9 @@
 	status=$$?; grep -E '^ *--- |seed [0-9]+:|the checker noticed|worlds|runs,|states|^ok|^FAIL' $(BIN)/prove.log; exit $$status
 
 # Faults from outside on the processes of the users' platform: SEEDS=n schedules,
-# SEED=n just that one.
+# SEED=n just that one, ENTRIES=n processes.
 soak:
-	SEEDS=$(SEEDS) SEED=$(SEED) $(GO) test -count=1 -timeout 60m -v -run 'TestSoak' ./cmd/standin
+	SEEDS=$(SEEDS) SEED=$(SEED) ENTRIES=$(ENTRIES) $(GO) test -count=1 -timeout 120m -v -run 'TestSoak' ./cmd/standin
 
 # Measurements. Those from the clock have no verdict in CI.
 bench: build
