The soak of series probes routes at entries that no fault hits

The probes of routes that versions add and drop were too few to find anything: signals hit all entries, and an outage of the store disturbs all of them, so that hardly one ran undisturbed for the stability window.

--- a/cmd/standin/soak_series_test.go
+++ b/cmd/standin/soak_series_test.go
@@ -33,9 +33,12 @@
 	// undisturbed for that.
 	configPropagation = 2 * time.Second
 	stabilityWindow   = 3 * time.Second
+	// minProbes is how many probes of routes a run needs at least: entries are probed only
+	// while they are undisturbed.
+	minProbes = 50
 	// maxVersionRoutes is the number of versions after which the route that a version
 	// added is dropped.
-	maxVersionRoutes = 4
+	maxVersionRoutes = 12
 )
 
 // versionRoute is a route that one version of the configuration added and a later one
@@ -55,9 +58,16 @@
 
 	mu     sync.Mutex
 	routes []versionRoute
+	probes int
 	found  []string
 }
 
+// randomVictim returns one of the entries to which faults happen. To the others only
+// those of the store do.
+func (s *seriesSoak) randomVictim(r *rand.Rand) *soakEntry {
+	return s.entries[r.IntN((len(s.entries)+1)/2)]
+}
+
 func (s *seriesSoak) fail(format string, values ...any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -126,25 +136,25 @@
 	{"entries stopped one after the other", func(s *seriesSoak, r *rand.Rand) {
 		var all sync.WaitGroup
 		inSeries(r, func(r *rand.Rand) {
-			e := randomEntry(s.soakRun, r)
+			e := s.randomVictim(r)
 			all.Go(func() { s.signalEntry(e, syscall.SIGTERM) })
 		})
 		all.Wait()
 	}},
 	{"an entry told to stop again and again", func(s *seriesSoak, r *rand.Rand) {
-		e := randomEntry(s.soakRun, r)
+		e := s.randomVictim(r)
 		var all sync.WaitGroup
 		inSeries(r, func(*rand.Rand) { all.Go(func() { s.signalEntry(e, syscall.SIGTERM) }) })
 		all.Wait()
 	}},
 	{"an entry killed as it starts", func(s *seriesSoak, r *rand.Rand) {
-		e := randomEntry(s.soakRun, r)
+		e := s.randomVictim(r)
 		var all sync.WaitGroup
 		inSeries(r, func(*rand.Rand) { all.Go(func() { s.signalEntry(e, syscall.SIGKILL) }) })
 		all.Wait()
 	}},
 	{"settings changed before, during and after a stop", func(s *seriesSoak, r *rand.Rand) {
-		e := randomEntry(s.soakRun, r)
+		e := s.randomVictim(r)
 		delay := time.Duration(r.Int64N(int64(seriesMaxGap)))
 		var stopping sync.WaitGroup
 		stopping.Go(func() {
@@ -159,31 +169,45 @@
 	}},
 	{"entries paused", func(s *seriesSoak, r *rand.Rand) {
 		inSeries(r, func(r *rand.Rand) {
-			s.pauseEntry(randomEntry(s.soakRun, r), randomDuration(r, 50*time.Millisecond, 1500*time.Millisecond))
+			s.pauseEntry(s.randomVictim(r), randomDuration(r, 50*time.Millisecond, 1500*time.Millisecond))
 		})
 	}},
 	{"configurations in quick succession", func(s *seriesSoak, r *rand.Rand) {
 		inSeries(r, func(*rand.Rand) { s.changeConfiguration() })
 	}},
-	{"store down and up", func(s *seriesSoak, r *rand.Rand) {
-		for _, e := range s.entries {
-			defer s.anyFault.begin(e)()
-		}
-		inSeries(r, func(r *rand.Rand) {
-			s.store.SetFailureStatus(http.StatusServiceUnavailable)
-			time.Sleep(randomDuration(r, 50*time.Millisecond, time.Second))
-			s.store.SetFailureStatus(0)
-		})
-	}},
 	{"targets replaced", func(s *seriesSoak, r *rand.Rand) {
 		inSeries(r, func(r *rand.Rand) { s.addTarget([]string{"bells", "drafts"}[r.IntN(2)]) })
 	}},
 }
 
-// injectFaults injects series of faults until the given time. They overlap, also with
-// those of their own kind.
+// storeOutages has the store fail again and again, which disturbs all entries.
+var storeOutages = seriesFault{"store down and up", func(s *seriesSoak, r *rand.Rand) {
+	for _, e := range s.entries {
+		defer s.anyFault.begin(e)()
+	}
+	inSeries(r, func(r *rand.Rand) {
+		s.store.SetFailureStatus(http.StatusServiceUnavailable)
+		time.Sleep(randomDuration(r, 50*time.Millisecond, time.Second))
+		s.store.SetFailureStatus(0)
+	})
+}}
+
+// injectFaults injects series of faults until the given time, and one series of outages
+// of the store near the beginning or the end. They overlap, also with those of their own
+// kind. The configuration changes all the while.
 func (s *seriesSoak) injectFaults(until time.Time) {
 	var all sync.WaitGroup
+	outagesAt := time.Duration(s.random.IntN(2)) * (time.Until(until) - seriesMaxGap)
+	r := rand.New(rand.NewPCG(s.random.Uint64(), 2))
+	all.Go(func() {
+		time.Sleep(outagesAt)
+		storeOutages.inject(s, r)
+	})
+	all.Go(func() {
+		for ; time.Now().Before(until); time.Sleep(2 * seriesMaxGap) {
+			s.changeConfiguration()
+		}
+	})
 	for time.Now().Before(until) {
 		time.Sleep(time.Duration(s.random.Int64N(int64(2 * seriesMaxGap))))
 		f, r := seriesFaults[s.random.IntN(len(seriesFaults))], rand.New(rand.NewPCG(s.random.Uint64(), 2))
@@ -281,6 +305,9 @@
 		return
 	}
 	_ = response.Body.Close()
+	s.mu.Lock()
+	s.probes++
+	s.mu.Unlock()
 	if !s.anyFault.isUndisturbed(e, now, time.Now()) || isAllowed(response.StatusCode, s.runCounts.count(a.id)) {
 		return
 	}
@@ -309,8 +336,9 @@
 			running.Go(func() { s.probeRoutes(until) })
 			s.injectFaults(until)
 			running.Wait()
-			t.Logf("seed %d: %d series, %d versions, %d requests on open connections: %s", seed, len(s.faults), len(s.routes), len(s.attempts), strings.Join(s.faults, ", "))
+			t.Logf("seed %d: %d series, %d versions, %d probes, %d requests on open connections: %s", seed, len(s.faults), len(s.routes), s.probes, len(s.attempts), strings.Join(s.faults, ", "))
 			s.c.Check(s.found, qt.HasLen, 0)
+			s.c.Check(s.probes >= minProbes, qt.IsTrue, qt.Commentf("%d probes", s.probes))
 			s.checkAfterFaults()
 		})
 	}
