Regular tasks get the present time, so that short pauses are detected

What callers saw: after an entry's process had been paused for 400 to 500 ms, it refused most streams with "full" for some six seconds.

The first tick after a pause seemed to be in time, and the watch that detects pauses took the gap in all streams for a slow group. Regular tasks get the present time now, as all functions that decide do.

TestEveryPassesThePresentTime failed before (a time of 300 ms ago).

--- a/internal/transport/process/loop.go
+++ b/internal/transport/process/loop.go
@@ -69,15 +69,16 @@
 	<-l.done
 }
 
-// Every calls f once per interval until stop is closed. It blocks, and skips calls
-// while f takes longer than the interval.
+// Every calls f with the present time once per interval until stop is closed. It blocks,
+// and skips calls while f takes longer than the interval or the process does not run.
 func Every(interval time.Duration, stop <-chan struct{}, f func(now time.Time)) {
 	t := time.NewTicker(interval)
 	defer t.Stop()
 	for {
 		select {
-		case now := <-t.C:
-			f(now)
+		case <-t.C:
+			// A ticker sends the time at which the tick was due.
+			f(time.Now())
 		case <-stop:
 			return
 		}
