The coordinator of a rank group decides with the present time

Fencing numbers tell two holders apart, so that no step ran on two maps. It runs as a regular task now, which TestEveryPassesThePresentTime covers. TestProveOneMap passes.

--- a/internal/transport/rankgroup/coordinator.go
+++ b/internal/transport/rankgroup/coordinator.go
@@ -13,6 +13,7 @@
 	"bluebellcrank/internal/protocol/platform"
 	"bluebellcrank/internal/state/event"
 	"bluebellcrank/internal/state/expert"
+	"bluebellcrank/internal/transport/process"
 )
 
 const (
@@ -88,17 +89,12 @@
 }
 
 func (c *coordinator) run() {
-	for {
-		select {
-		case <-c.group.stop:
-			return
-		case now := <-time.After(coordinatorInterval):
-			c.updateLease(now)
-			if c.holdsLease {
-				c.advance(now)
-			}
+	process.Every(coordinatorInterval, c.group.stop, func(now time.Time) {
+		c.updateLease(now)
+		if c.holdsLease {
+			c.advance(now)
 		}
-	}
+	})
 }
 
 func (c *coordinator) leaseObjectKey() string { return fmt.Sprintf(leaseKey, c.group.settings.Group) }
