A soak that does not start prints its logs

Such a failure prints the entries' logs now, and TestSoakRanks those of its agents where steps were too far apart.

--- a/cmd/standin/rank_test.go
+++ b/cmd/standin/rank_test.go
@@ -52,9 +52,12 @@
 	})
 	address := httptest.NewServer(store)
 	t.Cleanup(address.Close)
-	enginePort, internal := freePort(), freePort()
-	for n := range rankAgentCount {
-		ip := fmt.Sprintf("127.0.0.%d", 20+n)
+	ips := make([]string, rankAgentCount)
+	for n := range ips {
+		ips[n] = fmt.Sprintf("127.0.0.%d", 20+n)
+	}
+	enginePort, internal := freePort(ips), freePort(ips)
+	for n, ip := range ips {
 		l, err := net.Listen("tcp", net.JoinHostPort(ip, enginePort))
 		e.c.Assert(err, qt.IsNil)
 		engine := httptest.NewUnstartedServer(e.group.Handler(n))
@@ -202,6 +205,9 @@
 			}
 			mapFollowsLoad := e.waitForChanges(2, 10*time.Second)
 			t.Logf("seed %d: %d map changes, longest time between steps %s, faults: %s", seed, e.group.MapChanges(), e.group.LongestStepGap(), strings.Join(faults, ", "))
+			if e.group.LongestStepGap() >= maxStreamGap {
+				e.printLogs(t)
+			}
 			e.c.Check(e.group.MapMismatches(), qt.HasLen, 0)
 			e.c.Check(e.group.LongestStepGap() < maxStreamGap, qt.IsTrue, qt.Commentf("longest time between steps: %s", e.group.LongestStepGap()))
 			e.c.Check(mapFollowsLoad, qt.IsTrue, qt.Commentf("the map does not follow the popular experts after the faults"))
--- a/cmd/standin/soak_check_test.go
+++ b/cmd/standin/soak_check_test.go
@@ -82,13 +82,23 @@
 // the entries' logs of a failed run.
 func (s *soakRun) checkLogs() {
 	for _, e := range s.entries {
-		content, err := os.ReadFile(filepath.Join(s.dir, e.name+".log"))
-		s.c.Check(err, qt.IsNil)
-		if strings.Contains(string(content), "DATA RACE") || strings.Contains(string(content), "panic:") {
-			s.t.Errorf("%s:\n%s", e.name, content)
-		}
-		if s.t.Failed() {
-			s.t.Logf("%s:\n%s", e.name, content)
+		if log := s.logOf(e); strings.Contains(log, "DATA RACE") || strings.Contains(log, "panic:") {
+			s.t.Errorf("%s logged a data race or a panic", e.name)
 		}
 	}
+	if s.t.Failed() {
+		s.printLogs()
+	}
+}
+
+func (s *soakRun) printLogs() {
+	for _, e := range s.entries {
+		s.t.Logf("%s:\n%s", e.name, s.logOf(e))
+	}
+}
+
+func (s *soakRun) logOf(e *soakEntry) string {
+	content, err := os.ReadFile(filepath.Join(s.dir, e.name+".log"))
+	s.c.Check(err, qt.IsNil)
+	return string(content)
 }
--- a/cmd/standin/soak_test.go
+++ b/cmd/standin/soak_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -159,9 +160,12 @@
 	for n := range 4 {
 		s.addTarget([]string{"bells", "drafts"}[n%2])
 	}
-	traffic, ready, internal := freePort(), freePort(), freePort()
-	for n := range entryCount() {
-		ip := fmt.Sprintf("127.0.%d.%d", n/addressesPerBlock, 2+n%addressesPerBlock)
+	ips := make([]string, entryCount())
+	for n := range ips {
+		ips[n] = fmt.Sprintf("127.0.%d.%d", n/addressesPerBlock, 2+n%addressesPerBlock)
+	}
+	traffic, ready, internal := freePort(ips), freePort(ips), freePort(ips)
+	for n, ip := range ips {
 		e := &soakEntry{name: fmt.Sprintf("entry-%d", n), ip: ip, trafficAddress: net.JoinHostPort(ip, traffic), readyAddress: net.JoinHostPort(ip, ready), internalPort: internal}
 		e.storeRelay, _ = s.relayTo(strings.TrimPrefix(store.URL, "http://"))
 		e.settingsPath = filepath.Join(s.dir, e.name+".json")
@@ -190,11 +194,24 @@
 	return r, r.listenAddress
 }
 
-// freePort returns a port that is free at 127.0.0.1, for use at the addresses of
-// all instances.
-func freePort() string {
-	_, port, _ := strings.Cut(freeAddress(), ":")
-	return port
+// freePort returns a port that is free at 127.0.0.1 and at the addresses of all
+// instances, which other tests may use at the same time.
+func freePort(ips []string) string {
+	for {
+		_, port, _ := strings.Cut(freeAddress(), ":")
+		if !slices.ContainsFunc(ips, func(ip string) bool { return isInUse(net.JoinHostPort(ip, port)) }) {
+			return port
+		}
+	}
+}
+
+func isInUse(address string) bool {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return true
+	}
+	_ = l.Close()
+	return false
 }
 
 // writeSettings writes an entry's settings file.
@@ -290,6 +307,7 @@
 			return
 		}
 	}
+	s.printLogs()
 	s.c.Fatalf("condition not met within %s: %s", soakRecoveryTimeout, description)
 }
 
