--- a/cmd/standin/soak_series_test.go
+++ b/cmd/standin/soak_series_test.go
@@ -36,9 +36,8 @@
 	// minProbes is how many probes of routes a run needs at least: entries are probed only
 	// while they are undisturbed.
 	minProbes = 50
-	// maxVersionRoutes is the number of versions after which the route that a version
-	// added is dropped.
-	maxVersionRoutes = 12
+	// routeLifetime is the age from which the next version drops a route.
+	routeLifetime = 4 * time.Second
 )
 
 // versionRoute is a route that one version of the configuration added and a later one
@@ -99,23 +98,28 @@
 }
 
 // changeConfiguration stores a version of the configuration with a route of its own, and
-// without the one that an earlier version added.
+// without those that have reached routeLifetime.
 func (s *seriesSoak) changeConfiguration() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	name := fmt.Sprintf("route-%d", len(s.routes))
-	s.routes = append(s.routes, versionRoute{name: name})
-	dropped := max(len(s.routes)-maxVersionRoutes, 0)
-	var added []string
-	for _, r := range s.routes[dropped:] {
-		added = append(added, r.name)
+	var kept []string
+	var dropped []*versionRoute
+	for n := range s.routes {
+		switch r := &s.routes[n]; {
+		case !r.droppedAt.IsZero():
+		case time.Since(r.addedAt) > routeLifetime:
+			dropped = append(dropped, r)
+		default:
+			kept = append(kept, r.name)
+		}
 	}
-	s.setAddedRoutes(added)
+	added := fmt.Sprintf("route-%d", len(s.routes))
+	s.setAddedRoutes(append(kept, added))
 	now := time.Now()
-	s.routes[len(s.routes)-1].addedAt = now
-	if dropped > 0 {
-		s.routes[dropped-1].droppedAt = now
+	for _, r := range dropped {
+		r.droppedAt = now
 	}
+	s.routes = append(s.routes, versionRoute{name: added, addedAt: now})
 }
 
 // inSeries calls f a random number of times with random pauses.
@@ -277,11 +281,11 @@
 func (s *seriesSoak) probeRoutes(until time.Time) {
 	r := rand.New(rand.NewPCG(s.seed, 4))
 	client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	for ; time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+	for ; time.Now().Before(until); time.Sleep(2 * time.Millisecond) {
 		s.mu.Lock()
 		route := versionRoute{}
 		if len(s.routes) > 0 {
-			route = s.routes[max(len(s.routes)-1-r.IntN(2*maxVersionRoutes), 0)]
+			route = s.routes[r.IntN(len(s.routes))]
 		}
 		s.mu.Unlock()
 		now, e := time.Now(), randomEntry(s.soakRun, r)
