Open connections of entries go silent as requests crash targets and a change comes

What the bench can't play is played on processes: the open connections between entries and to the store carry nothing any more, while a request, or a part of prompts, that has ended targets comes again and a version adds a route. No fault was found, so nothing but tests changes.

Entries of the soaks reach each other through relays; TestSoak silences them too.

--- a/cmd/standin/crash_test.go
+++ b/cmd/standin/crash_test.go
@@ -236,6 +236,41 @@
 		time.Sleep(crashWindow)
 		c.entries[0].signal(syscall.SIGCONT)
 	}},
+	{"a change as connections go silent", (*crashRun).changeAsConnectionsGoSilent},
+}
+
+// changeAsConnectionsGoSilent silences the open connections between entries and to the
+// store, and adds a route. Every entry must know the route crashWindow later.
+func (c *crashRun) changeAsConnectionsGoSilent() {
+	for _, e := range c.entries {
+		e.entryRelay.silence(true, true)
+		e.storeRelay.silence(true, true)
+	}
+	c.setAddedRoutes([]string{"added"})
+	acknowledged := time.Now()
+	var checks sync.WaitGroup
+	for _, e := range c.entries {
+		checks.Go(func() {
+			for c.statusOf(e, "/added/x") != http.StatusOK && time.Since(acknowledged) < 2*crashWindow {
+				time.Sleep(20 * time.Millisecond)
+			}
+			took := time.Since(acknowledged)
+			c.t.Logf("%s knows the route after %s", e.name, took)
+			c.c.Check(took < crashWindow, qt.IsTrue, qt.Commentf("%s knows the route after %s", e.name, took))
+		})
+	}
+	checks.Wait()
+}
+
+// statusOf returns the status of a sound request on a new connection to an entry.
+func (c *crashRun) statusOf(e *soakEntry, path string) int {
+	client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(c.newRequest(soakAttempt{id: fmt.Sprintf("c-%d", c.lastAttempt.Add(1)), apiKey: soakKey}, e.trafficAddress, path, "sound"))
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
 }
 
 // runDeadly sends deadly requests to the entries in turn for a time, one for each pause,
--- a/cmd/standin/soak_faults_test.go
+++ b/cmd/standin/soak_faults_test.go
@@ -58,6 +58,7 @@
 		s.store.SetFailureStatus(0)
 	}},
 	{"store silent to an entry", func(s *soakRun, r *rand.Rand) { randomEntry(s, r).storeRelay.silence(true, true) }},
+	{"an entry silent to others", func(s *soakRun, r *rand.Rand) { randomEntry(s, r).entryRelay.silence(true, true) }},
 	{"store's answers lost", func(s *soakRun, r *rand.Rand) { randomEntry(s, r).storeRelay.silence(false, true) }},
 	{"store slow to an entry", func(s *soakRun, r *rand.Rand) {
 		e := randomEntry(s, r)
@@ -120,5 +121,6 @@
 	}
 	for _, e := range s.entries {
 		e.storeRelay.closeSilenced()
+		e.entryRelay.closeSilenced()
 	}
 }
--- a/cmd/standin/soak_test.go
+++ b/cmd/standin/soak_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -95,8 +96,10 @@
 	// internalPort is the port on which it accepts other entries.
 	internalPort string
 	storeRelay   *relay
-	mu           sync.Mutex
-	cmd          *exec.Cmd
+	// entryRelay carries the connections of other entries to this one.
+	entryRelay *relay
+	mu         sync.Mutex
+	cmd        *exec.Cmd
 	// ended is set once the process must not be restarted.
 	ended bool
 	done  sync.WaitGroup
@@ -151,7 +154,7 @@
 		runCounts: runCounter{counts: map[string]int{}},
 		keys:      []string{soakKey, soakRemovedKey},
 	}
-	store := httptest.NewServer(s.store)
+	store := httptest.NewServer(http.HandlerFunc(s.serveStore))
 	t.Cleanup(func() {
 		store.CloseClientConnections()
 		store.Close()
@@ -161,13 +164,17 @@
 		s.addTarget([]string{"bells", "drafts"}[n%2])
 	}
 	ips := make([]string, entryCount())
+	allIPs := make([]string, 0, 2*len(ips))
 	for n := range ips {
-		ips[n] = fmt.Sprintf("127.0.%d.%d", n/addressesPerBlock, 2+n%addressesPerBlock)
+		ips[n] = fmt.Sprintf("%s%d.%d", entryNetwork, n/addressesPerBlock, 2+n%addressesPerBlock)
+		allIPs = append(allIPs, ips[n], relayIP(ips[n]))
 	}
-	traffic, ready, internal := freePort(ips), freePort(ips), freePort(ips)
+	traffic, ready, internal := freePort(allIPs), freePort(allIPs), freePort(allIPs)
 	for n, ip := range ips {
 		e := &soakEntry{name: fmt.Sprintf("entry-%d", n), ip: ip, trafficAddress: net.JoinHostPort(ip, traffic), readyAddress: net.JoinHostPort(ip, ready), internalPort: internal}
 		e.storeRelay, _ = s.relayTo(strings.TrimPrefix(store.URL, "http://"))
+		e.entryRelay = s.relayAt(net.JoinHostPort(relayIP(ip), internal), net.JoinHostPort(ip, internal))
+		s.relayAt(net.JoinHostPort(relayIP(ip), ready), e.readyAddress)
 		e.settingsPath = filepath.Join(s.dir, e.name+".json")
 		s.writeSettings(e, revocation)
 		s.entries = append(s.entries, e)
@@ -185,13 +192,43 @@
 
 // relayTo starts a relay to an address and returns it with its listen address.
 func (s *soakRun) relayTo(address string) (*relay, string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	r := s.relayAt("127.0.0.1:0", address)
+	return r, r.listenAddress
+}
+
+// relayAt starts a relay from one address to another.
+func (s *soakRun) relayAt(listen, address string) *relay {
+	l, err := net.Listen("tcp", listen)
 	s.c.Assert(err, qt.IsNil)
 	s.t.Cleanup(func() { _ = l.Close() })
 	r := newRelay(address)
 	r.listenAddress = l.Addr().String()
 	go r.serve(l)
-	return r, r.listenAddress
+	return r
+}
+
+const (
+	// entryNetwork begins the addresses of entries, and relayNetwork those under which
+	// the store lists them, where relays listen.
+	entryNetwork = "127.0."
+	relayNetwork = "127.1."
+)
+
+// relayIP returns the address of the relays to an entry.
+func relayIP(ip string) string { return relayNetwork + strings.TrimPrefix(ip, entryNetwork) }
+
+// serveStore serves the store. It lists entries at the addresses of their relays.
+func (s *soakRun) serveStore(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPost && strings.HasSuffix(r.URL.Path, "/bluebellcrank-entries") {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		body = bytes.ReplaceAll(body, []byte(`"`+entryNetwork), []byte(`"`+relayNetwork))
+		r.Body = io.NopCloser(bytes.NewReader(body))
+	}
+	s.store.ServeHTTP(w, r)
 }
 
 // freePort returns a port that is free at 127.0.0.1 and at the addresses of all
