Entries forget the attempts at targets of a service without a rate

An entry kept the time of each attempt at a target for good, unless the service has a rate for cold targets: only the check of that rate dropped old ones.

--- a/internal/coordination/balance/fleet.go
+++ b/internal/coordination/balance/fleet.go
@@ -232,7 +232,7 @@
 	}
 	best.inFlight++
 	f.grantIntervalOf(r.Service, now).recordGrant(now)
-	best.recentAttempts = append(best.recentAttempts, now)
+	best.attempts.add(now)
 	if r.Stream {
 		best.group.startStream(r.GapGoal, now)
 	}
--- a/internal/coordination/balance/member.go
+++ b/internal/coordination/balance/member.go
@@ -61,8 +61,7 @@
 	// failures is the number of failures since the last response.
 	failures       int
 	suspendedUntil time.Time
-	// recentAttempts holds the times of the attempts within rateWindow.
-	recentAttempts []time.Time
+	attempts       attemptLog
 	// position is this entry's place among the entries that may send to the
 	// target, as of the set of entries of positionGeneration.
 	position           int
@@ -122,8 +121,5 @@
 // withinRate reports whether one more attempt stays within perSecond attempts per
 // second.
 func (m *member) withinRate(perSecond int, now time.Time) bool {
-	for len(m.recentAttempts) > 0 && now.Sub(m.recentAttempts[0]) >= rateWindow {
-		m.recentAttempts = m.recentAttempts[1:]
-	}
-	return len(m.recentAttempts) < perSecond
+	return len(m.attempts.since(now.Add(-rateWindow))) < perSecond
 }
