Entries share the rate of a target exactly, however many there are

The attempts of a window are dealt to consecutive entries, from one that differs by target, evenly spaced. Where there are attempts for all entries each may send to some target, and none gets more than its rate. Where there are not, the first entry moves on by turns, a part of the window long, so that every entry has its turn; a window that overlaps one more turn than fit into it stays within the rate. Shares need no remainder that is lost: 8 entries use 20 of 20 attempts, 16 before.

--- a/internal/coordination/balance/entryshare.go
+++ b/internal/coordination/balance/entryshare.go
@@ -2,42 +2,21 @@
 
 import (
 	"math"
+	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"bluebellcrank/internal/coordination/membership"
 )
 
+// never is the wait of an entry that is not among those that may send to a target.
+const never time.Duration = math.MaxInt64
+
 // entrySet is the set of entries that send to the same targets.
 type entrySet struct {
-	// self is the name of this entry.
-	self string
-	// names lists the entries; it is empty until they are known.
-	names []string
-	// count is the number of entries, also while their names are not known.
+	// position is this entry's place in the order of the entries, from 0.
+	position int
+	// count is the number of entries.
 	count int
-	// generation increases with each change of the set.
-	generation int
-}
-
-// attemptsPerSecond returns how many attempts per second this entry may make at a
-// target if all entries together may make total. Where there are more entries than
-// attempts, a part of the entries may make one each; it is another part for each
-// target, and all entries agree on it.
-func (e entrySet) attemptsPerSecond(position int, total float64) int {
-	if share := total / float64(max(e.count, 1)); share >= 1 {
-		return int(share)
-	}
-	if position < max(1, int(total)) {
-		return 1
-	}
-	return 0
-}
-
-// position returns the place of this entry in an order of the entries that is
-// different for each target.
-func (e entrySet) position(target string) int {
-	return membership.Position(target, e.self, e.names, e.count)
 }
 
 // SetEntries sets the entries that send to the same targets, and the name of this
@@ -45,59 +24,120 @@
 func (f *Fleet) SetEntries(self string, names []string, count int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.entries = entrySet{self: self, names: names, count: max(count, 1), generation: f.entries.generation + 1}
+	f.entries = newEntrySet(self, names, count)
 }
 
-// attemptsPerSecond returns how many attempts per second this entry may make at a
-// target if all entries together may make total. An entry that may send to no target
-// of the service, as can be where there are few, gets one of them all the same.
-func (f *Fleet) attemptsPerSecond(m *member, total float64) int {
-	attempts := f.entries.attemptsPerSecond(f.positionAt(m), total)
-	if attempts == 0 && f.fallbackTarget(m.target.Service, total) == m.target.ID {
-		return 1
+func newEntrySet(self string, names []string, count int) entrySet {
+	count = max(count, 1)
+	if len(names) == 0 {
+		return entrySet{position: int(xxhash.Sum64String(self) % uint64(count)), count: count}
 	}
-	return attempts
+	position, _ := slices.BinarySearch(slices.Sorted(slices.Values(names)), self)
+	return entrySet{position: position % count, count: count}
+}
+
+// place is a target's place among the targets of its service, which are ordered by ID.
+type place struct{ index, count int }
+
+// rateLimit is the number of attempts that all entries together may make at one target
+// in each window.
+type rateLimit struct {
+	attempts int
+	window   time.Duration
 }
 
-// positionAt returns this entry's place among the entries that may send to a target.
-func (f *Fleet) positionAt(m *member) int {
-	if m.positionGeneration != f.entries.generation {
-		m.position, m.positionGeneration = f.entries.position(m.target.ID), f.entries.generation
+// newRateLimit returns the limit of a number of attempts per second that is averaged over
+// a window, or over the time in which one attempt is due if that is longer.
+func newRateLimit(perSecond float64, window time.Duration) rateLimit {
+	if attempts := int(perSecond * window.Seconds()); attempts > 0 {
+		return rateLimit{attempts: attempts, window: window}
 	}
-	return m.position
+	return rateLimit{attempts: 1, window: time.Duration(float64(time.Second) / perSecond)}
 }
 
-// fallbackTarget is the target of a service for an entry that may send to none, as of
-// a set of entries, a number of targets and a rate. Its ID is empty if there is another
-// target for the entry.
-type fallbackTarget struct {
-	id          string
-	generation  int
-	targetCount int
-	total       float64
+// maxTurnsPerWindow is the largest number of turns in the window of a limit.
+const maxTurnsPerWindow = 4
+
+// turns divides a limit into turns, each of which has the same number of attempts. A
+// window that begins within a turn has a part of one turn more than fit into it, and all
+// of them together stay within the limit, unless that is a single attempt.
+func (l rateLimit) turns() rateLimit {
+	count := min(maxTurnsPerWindow, max(1, l.attempts-1))
+	return rateLimit{attempts: max(1, l.attempts/(count+1)), window: l.window / time.Duration(count)}
 }
 
-// fallbackTarget returns the ID of the service's fallback target for this entry, or an
-// empty ID.
-func (f *Fleet) fallbackTarget(service string, total float64) string {
-	members := f.services[service]
-	now := fallbackTarget{generation: f.entries.generation, targetCount: len(members), total: total}
-	known := f.fallbacks[service]
-	now.id = known.id
-	if known == now && (known.id == "" || f.members[known.id] != nil) {
-		return known.id
-	}
-	now.id = ""
-	least := uint64(math.MaxUint64)
-	for _, m := range members {
-		if f.entries.attemptsPerSecond(f.positionAt(m), total) > 0 {
-			now.id = ""
-			break
+// entryShare is the part of a limit that one entry has.
+type entryShare struct {
+	attempts int
+	// after is the time after which the entry's attempts count, and until the time at
+	// which its share changes; zero if it does not.
+	after, until time.Time
+	// wait is the time from now until the entry has a share; 0 if it has one.
+	wait time.Duration
+}
+
+// share returns the part of a target's limit that this entry has. The attempts are dealt
+// to consecutive entries. The first one differs by target, so that every entry may send
+// to some target of the service if there are attempts for all. If not, the first one also
+// moves on with each turn.
+func (e entrySet) share(p place, limit rateLimit, now time.Time) entryShare {
+	first := p.index * e.count / max(p.count, 1)
+	if limit.attempts*p.count >= e.count {
+		out := entryShare{attempts: e.dealt(first, limit.attempts), after: now.Add(-limit.window)}
+		if out.attempts == 0 {
+			out.wait = never
 		}
-		if h := xxhash.Sum64String(f.entries.self + "/" + m.target.ID); h <= least {
-			now.id, least = m.target.ID, h
+		return out
+	}
+	turn := limit.turns()
+	number := now.UnixNano() / int64(turn.window)
+	first = int((int64(first) + number*int64(turn.attempts)) % int64(e.count))
+	start := time.Unix(0, number*int64(turn.window))
+	out := entryShare{attempts: e.dealt(first, turn.attempts), after: start.Add(-1), until: start.Add(turn.window)}
+	if out.attempts == 0 {
+		turnsAhead := e.distance(first) / turn.attempts
+		out.wait = out.until.Sub(now) + time.Duration(turnsAhead-1)*turn.window
+	}
+	return out
+}
+
+// distance returns how many places this entry is behind another one, in a circle.
+func (e entrySet) distance(first int) int { return ((e.position-first)%e.count + e.count) % e.count }
+
+// dealt returns how many of a number of attempts, dealt to consecutive entries from the
+// first one on, this entry gets.
+func (e entrySet) dealt(first, attempts int) int {
+	out := attempts / e.count
+	if e.distance(first) < attempts%e.count {
+		out++
+	}
+	return out
+}
+
+// placeOf returns a target's place among the targets of its service.
+func (f *Fleet) placeOf(m *member) place {
+	list := f.services[m.target.Service]
+	if m.placeGeneration != f.listGeneration {
+		for n, o := range list {
+			o.index, o.placeGeneration = n, f.listGeneration
 		}
 	}
-	f.fallbacks[service] = now
-	return now.id
+	return place{index: m.index, count: len(list)}
+}
+
+// waitFor returns the time until this entry may make one more attempt at a target under a
+// limit; 0 if it may now.
+func (f *Fleet) waitFor(m *member, limit rateLimit, now time.Time) time.Duration {
+	share := f.entries.share(f.placeOf(m), limit, now)
+	if share.attempts == 0 {
+		return share.wait
+	}
+	made := m.attempts.since(share.after)
+	if len(made) < share.attempts {
+		return 0
+	}
+	if !share.until.IsZero() {
+		return share.until.Sub(now)
+	}
+	return made[len(made)-share.attempts].Add(limit.window).Sub(now)
 }
--- a/internal/coordination/balance/entryshare_test.go
+++ b/internal/coordination/balance/entryshare_test.go
@@ -71,3 +71,71 @@
 		})
 	}
 }
+
+// TestRateOfATargetOverTime has all entries send as much as they may for some seconds. No
+// target may get more than its rate in any window, and the rate must be used.
+func TestRateOfATargetOverTime(t *testing.T) {
+	const (
+		step  = 100 * time.Millisecond
+		steps = 240
+	)
+	tests := []struct {
+		entries, targetCount int
+		rate                 float64
+		window               time.Duration
+		// most bounds the attempts that a target gets in a window, least those that it
+		// gets in the whole time.
+		most, least int
+	}{
+		{1, 1, 2.5, time.Second, 2, 44},
+		{10, 16, 20.8, time.Second, 20, 440},
+		{35, 192, 20.8, time.Second, 20, 440},
+		{490, 40, 20.8, time.Second, 20, 440},
+		{490, 3, 20.8, time.Second, 20, 320},
+		{490, 40, 3, time.Second, 3, 44},
+		{490, 40, 0.5, 2 * time.Second, 2, 11},
+		{1, 1, 0.5, 2 * time.Second, 1, 11},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("%d entries, %d targets, %v a second", tt.entries, tt.targetCount, tt.rate), func(t *testing.T) {
+			c := qt.New(t)
+			start := time.Unix(100, 0)
+			names := make([]string, tt.entries)
+			for n := range names {
+				names[n] = fmt.Sprintf("edge-%03d", n)
+			}
+			targets := make([]fleet.Target, tt.targetCount)
+			for n := range targets {
+				targets[n] = fleet.Target{ID: fmt.Sprintf("t-%03d", n), Service: "drafts"}
+			}
+			fleets := make([]*Fleet, tt.entries)
+			for n := range fleets {
+				fleets[n] = NewFleet(rand.New(rand.NewPCG(uint64(n), 1)))
+				fleets[n].Replace(targets, start)
+				fleets[n].SetEntries(names[n], names, len(names))
+			}
+			attempts := map[string][]time.Time{}
+			request := Request{Service: "drafts", MaxPerSecond: tt.rate}
+			for n := range steps {
+				now := start.Add(time.Duration(n) * step)
+				for _, f := range fleets {
+					for l, _ := f.Pick(request, now); l != nil; l, _ = f.Pick(request, now) {
+						attempts[l.Target().ID] = append(attempts[l.Target().ID], now)
+						l.Done(Answered, 0, now)
+					}
+				}
+			}
+			for _, target := range targets {
+				times := attempts[target.ID]
+				c.Check(len(times) >= tt.least, qt.IsTrue, qt.Commentf("%d attempts at %s", len(times), target.ID))
+				first := 0
+				for n, at := range times {
+					for at.Sub(times[first]) >= tt.window {
+						first++
+					}
+					c.Assert(n-first+1 <= tt.most, qt.IsTrue, qt.Commentf("%d attempts at %s within %s", n-first+1, target.ID, tt.window))
+				}
+			}
+		})
+	}
+}
--- a/internal/coordination/balance/fleet.go
+++ b/internal/coordination/balance/fleet.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -93,8 +94,8 @@
 	queue          []*Ticket
 	grantIntervals map[string]*grantInterval
 	entries        entrySet
-	// fallbacks is keyed by service.
-	fallbacks map[string]fallbackTarget
+	// listGeneration increases when a target is added or removed.
+	listGeneration int
 	// notices is keyed by target ID.
 	notices map[string]*notice
 }
@@ -108,8 +109,9 @@
 		groups:         map[string]*group{},
 		dataCentresOut: map[string]bool{},
 		grantIntervals: map[string]*grantInterval{},
-		fallbacks:      map[string]fallbackTarget{},
 		notices:        map[string]*notice{},
+		entries:        newEntrySet("", nil, 1),
+		listGeneration: 1,
 	}
 }
 
@@ -161,7 +163,9 @@
 	if m == nil {
 		m = &member{}
 		f.members[t.ID] = m
-		f.services[t.Service] = append(f.services[t.Service], m)
+		at, _ := slices.BinarySearchFunc(f.services[t.Service], t.ID, func(o *member, id string) int { return cmp.Compare(o.target.ID, id) })
+		f.services[t.Service] = slices.Insert(f.services[t.Service], at, m)
+		f.listGeneration++
 	}
 	m.target = t
 	f.linkNotice(m)
@@ -196,6 +200,7 @@
 	m.removed = true
 	m.group.targetCount--
 	delete(f.members, id)
+	f.listGeneration++
 	s := m.target.Service
 	f.services[s] = slices.DeleteFunc(f.services[s], func(o *member) bool { return o == m })
 	if len(f.services[s]) == 0 {
@@ -242,7 +247,7 @@
 // hasCapacity reports whether the target stays within its attempt rate, its slots
 // and, for a new stream, the gap goal if it gets the request.
 func (f *Fleet) hasCapacity(m *member, r Request, now time.Time) bool {
-	if r.MaxPerSecond > 0 && !m.withinRate(f.attemptsPerSecond(m, r.MaxPerSecond), now) {
+	if r.MaxPerSecond > 0 && f.waitFor(m, newRateLimit(r.MaxPerSecond, time.Second), now) > 0 {
 		return false
 	}
 	if m.target.Slots > 0 && m.load(now) >= m.target.Slots {
--- a/internal/coordination/balance/member.go
+++ b/internal/coordination/balance/member.go
@@ -16,9 +16,6 @@
 	// maxSuspension, for longer outages.
 	minSuspension = 500 * time.Millisecond
 	maxSuspension = 4 * time.Second
-	// rateWindow is the window in which attempts are counted for the limit of
-	// attempts per second.
-	rateWindow = time.Second
 	// slowdownThreshold is the reported slowdown from which an engine gets new
 	// streams only if no other rank of its group has capacity, because its own
 	// work slows the whole group.
@@ -62,10 +59,10 @@
 	failures       int
 	suspendedUntil time.Time
 	attempts       attemptLog
-	// position is this entry's place among the entries that may send to the
-	// target, as of the set of entries of positionGeneration.
-	position           int
-	positionGeneration int
+	// index is the target's place among those of its service, as of the list of
+	// targets of placeGeneration.
+	index           int
+	placeGeneration int
 }
 
 // load returns the number of requests in flight, those from other entries included
@@ -117,9 +114,3 @@
 	}
 	m.meanLatency += time.Duration(latencyWeight * float64(latency-m.meanLatency))
 }
-
-// withinRate reports whether one more attempt stays within perSecond attempts per
-// second.
-func (m *member) withinRate(perSecond int, now time.Time) bool {
-	return len(m.attempts.since(now.Add(-rateWindow))) < perSecond
-}
