Targets that name a limit get no more from all entries together

Cause: nothing read the limit that a target names in its answers.

An entry that gets such an answer counts its attempts at the target against its share of the limit, which is dealt like the rate of cold targets: whole attempts to some entries instead of parts of one to all. Targets without a limit are chosen first. What no target may get is refused at once, with the time until this entry may send again. Entries tell each other of limits that change or end, by the exchange that spreads the quarantine list, which is one generic type now (listexchange.go, peers.go); the newest answer of a run of a target counts.

--- a/cmd/standin/soak_targets_test.go
+++ b/cmd/standin/soak_targets_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -47,6 +48,12 @@
 	until time.Time
 }
 
+// targetLimit is a limit in requests per second that a target names since a time.
+type targetLimit struct {
+	perSecond float64
+	since     time.Time
+}
+
 // targetSoak records what targets and entries tell each other while faults overlap.
 type targetSoak struct {
 	*crashRun
@@ -59,6 +66,10 @@
 	leaving   map[string]bool
 	// busyFor is the pause that a target asks for with each refusal.
 	busyFor map[string]time.Duration
+	// limits has the limit that a target names, and limitTold when an entry first passed
+	// it on.
+	limits    map[string]targetLimit
+	limitTold map[targetEntry]time.Time
 	// announced is when an entry first passed on that a target is leaving.
 	announced map[targetEntry]time.Time
 	arrivals  map[targetEntry][]sentRequest
@@ -68,6 +79,15 @@
 	faults []string
 }
 
+func newTargetSoak(seed uint64) *targetSoak {
+	return &targetSoak{
+		random: rand.New(rand.NewPCG(seed, 11)), sent: map[string]sentRequest{},
+		limits: map[string]targetLimit{}, limitTold: map[targetEntry]time.Time{},
+		leaving: map[string]bool{}, busyFor: map[string]time.Duration{}, announced: map[targetEntry]time.Time{},
+		arrivals: map[targetEntry][]sentRequest{}, pauses: map[targetEntry][]pauseRequest{}, deadly: map[string][]sentRequest{},
+	}
+}
+
 // arrive records a request at a target, and answers it if the target is busy.
 func (s *targetSoak) arrive(t *crashTarget, w http.ResponseWriter, r *http.Request) bool {
 	s.mu.Lock()
@@ -82,6 +102,9 @@
 	if s.leaving[t.target.ID] {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	if limit := s.limits[t.target.ID]; limit.perSecond > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(limit.perSecond, 'f', 2, 64))
+	}
 	if pause := s.busyFor[t.target.ID]; pause > 0 {
 		s.pauses[key] = append(s.pauses[key], pauseRequest{now, now.Add(pause)})
 		w.Header().Set("Not-Executed", "1")
@@ -99,7 +122,7 @@
 	s.sent[id] = sentRequest{e, time.Now()}
 }
 
-// recordReply records whether an entry passed on that a target is leaving.
+// recordReply records whether an entry passed on that a target is leaving, or its limit.
 func (s *targetSoak) recordReply(e *soakEntry, h http.Header) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -107,6 +130,43 @@
 	if _, isKnown := s.announced[key]; h.Get("Server-Leaving") == "1" && !isKnown {
 		s.announced[key] = time.Now()
 	}
+	now := time.Now()
+	if told, isKnown := s.limitTold[key]; h.Get("Server-Limit") != "" && (!isKnown || !s.disturbed.isUndisturbed(e, told, now)) {
+		s.limitTold[key] = now
+	}
+}
+
+const (
+	// limitWindow is the time in which a target's limit counts. In each such time, it may
+	// get limitFactor times what the limit allows, and limitTolerance requests more.
+	limitWindow    = 4 * time.Second
+	limitFactor    = 1.5
+	limitTolerance = 5
+)
+
+// checkLimit checks that a target which has named a limit until now got no more than
+// allowed from undisturbed entries that knew it, from crashWindow after it first did.
+func (s *targetSoak) checkLimit(target string, limit targetLimit) {
+	var arrivals []time.Time
+	for key, requests := range s.arrivals {
+		told, isTold := s.limitTold[key]
+		if key.target != target || !isTold {
+			continue
+		}
+		for _, a := range requests {
+			if a.at.After(told.Add(backoffSettle)) && a.at.After(limit.since.Add(crashWindow)) && s.disturbed.isUndisturbed(key.entry, told, a.at) {
+				arrivals = append(arrivals, a.at)
+			}
+		}
+	}
+	slices.SortFunc(arrivals, time.Time.Compare)
+	allowed := int(limitFactor*limit.perSecond*limitWindow.Seconds()) + limitTolerance
+	for n, at := range arrivals {
+		if next := n + allowed; next < len(arrivals) && arrivals[next].Sub(at) < limitWindow {
+			s.t.Errorf("%s: more than %d requests within %s at a limit of %.2f a second", target, allowed, limitWindow, limit.perSecond)
+			return
+		}
+	}
 }
 
 // checkPauses checks that no target got more requests than allowed while it had asked an
@@ -205,6 +265,29 @@
 		s.store.Delete("servers", old.target.ID)
 		old.stop()
 	}},
+	{"target names a limit", func(s *targetSoak, r *rand.Rand) {
+		id := s.randomTarget(r).target.ID
+		limit := targetLimit{perSecond: 0.25 + r.Float64(), since: time.Now()}
+		s.mu.Lock()
+		_, isLimited := s.limits[id]
+		if !isLimited {
+			s.limits[id] = limit
+		}
+		s.mu.Unlock()
+		if isLimited {
+			return
+		}
+		time.Sleep(randomDuration(r, time.Second, crashWindow+2*limitWindow))
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.checkLimit(id, limit)
+		delete(s.limits, id)
+		for key := range s.limitTold {
+			if key.target == id {
+				delete(s.limitTold, key)
+			}
+		}
+	}},
 	{"target busy", func(s *targetSoak, r *rand.Rand) {
 		id := s.randomTarget(r).target.ID
 		s.mu.Lock()
@@ -270,11 +353,7 @@
 func TestSoakTargets(t *testing.T) {
 	for _, seed := range seeds(2) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			s := &targetSoak{
-				random: rand.New(rand.NewPCG(seed, 11)), sent: map[string]sentRequest{},
-				leaving: map[string]bool{}, busyFor: map[string]time.Duration{}, announced: map[targetEntry]time.Time{},
-				arrivals: map[targetEntry][]sentRequest{}, pauses: map[targetEntry][]pauseRequest{}, deadly: map[string][]sentRequest{},
-			}
+			s := newTargetSoak(seed)
 			s.crashRun = newCrashRun(t, func(r *http.Request, body string) bool {
 				kind, _, _ := strings.Cut(body, " ")
 				if kind != "single" && kind != "part" {
--- a/internal/coordination/balance/dump.go
+++ b/internal/coordination/balance/dump.go
@@ -14,10 +14,13 @@
 	Group      string `yaml:"group"`
 	Leaving    bool   `yaml:"leaving"`
 	// BackoffMs is how much longer the target wants no requests.
-	BackoffMs  int64 `yaml:"backoff-ms"`
-	InFlight   int   `yaml:"in-flight"`
-	Failures   int   `yaml:"failures"`
-	StepTimeMs int64 `yaml:"pace-ms"`
+	BackoffMs int64 `yaml:"backoff-ms"`
+	// LimitPerSecond is the number of requests per second that the target takes from all
+	// entries together; 0 if it names none.
+	LimitPerSecond float64 `yaml:"limit-per-second"`
+	InFlight       int     `yaml:"in-flight"`
+	Failures       int     `yaml:"failures"`
+	StepTimeMs     int64   `yaml:"pace-ms"`
 }
 
 // Targets returns the state of all targets, sorted by ID.
@@ -27,15 +30,16 @@
 	var out []TargetState
 	for id, m := range f.members {
 		out = append(out, TargetState{
-			ID:         id,
-			Service:    m.target.Service,
-			DataCentre: m.target.DataCentre,
-			Group:      m.group.name,
-			Leaving:    m.isLeaving(),
-			BackoffMs:  m.notice.backoffRemaining(now).Milliseconds(),
-			InFlight:   m.inFlight,
-			Failures:   m.failures,
-			StepTimeMs: m.group.stepTime.mean.Milliseconds(),
+			ID:             id,
+			Service:        m.target.Service,
+			DataCentre:     m.target.DataCentre,
+			Group:          m.group.name,
+			Leaving:        m.isLeaving(),
+			BackoffMs:      m.notice.backoffRemaining(now).Milliseconds(),
+			LimitPerSecond: m.notice.limitPerSecond(),
+			InFlight:       m.inFlight,
+			Failures:       m.failures,
+			StepTimeMs:     m.group.stepTime.mean.Milliseconds(),
 		})
 	}
 	slices.SortFunc(out, func(a, b TargetState) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/coordination/balance/entryshare.go
+++ b/internal/coordination/balance/entryshare.go
@@ -8,8 +8,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// never is the wait of an entry that is not among those that may send to a target.
-const never time.Duration = math.MaxInt64
+// Never is the wait of an entry that is not among those that may send to a target.
+const Never time.Duration = math.MaxInt64
 
 // entrySet is the set of entries that send to the same targets.
 type entrySet struct {
@@ -56,14 +56,22 @@
 }
 
 // maxTurnsPerWindow is the largest number of turns in the window of a limit.
-const maxTurnsPerWindow = 4
+const maxTurnsPerWindow = 10
 
-// turns divides a limit into turns, each of which has the same number of attempts. A
-// window that begins within a turn has a part of one turn more than fit into it, and all
-// of them together stay within the limit, unless that is a single attempt.
+// turns divides a limit into turns, each of which has the same number of attempts, so that
+// most of the limit is used. A window that begins within a turn overlaps one turn more than
+// fit into it, and all of them together stay within the limit, unless that is a single
+// attempt.
 func (l rateLimit) turns() rateLimit {
-	count := min(maxTurnsPerWindow, max(1, l.attempts-1))
-	return rateLimit{attempts: max(1, l.attempts/(count+1)), window: l.window / time.Duration(count)}
+	best := rateLimit{attempts: 1, window: l.window}
+	used := 0
+	for count := 1; count <= maxTurnsPerWindow; count++ {
+		if attempts := l.attempts / (count + 1); attempts*count > used {
+			used = attempts * count
+			best = rateLimit{attempts: attempts, window: l.window / time.Duration(count)}
+		}
+	}
+	return best
 }
 
 // entryShare is the part of a limit that one entry has.
@@ -85,7 +93,7 @@
 	if limit.attempts*p.count >= e.count {
 		out := entryShare{attempts: e.dealt(first, limit.attempts), after: now.Add(-limit.window)}
 		if out.attempts == 0 {
-			out.wait = never
+			out.wait = Never
 		}
 		return out
 	}
@@ -141,3 +149,13 @@
 	}
 	return made[len(made)-share.attempts].Add(limit.window).Sub(now)
 }
+
+// waitForLimit returns the time until this entry may make one more attempt at a target
+// under the limit that the target has named; 0 if it may now.
+func (f *Fleet) waitForLimit(m *member, now time.Time) time.Duration {
+	limit, isLimited := m.notice.rateLimit()
+	if !isLimited {
+		return 0
+	}
+	return f.waitFor(m, limit, now)
+}
--- a/internal/coordination/balance/fleet.go
+++ b/internal/coordination/balance/fleet.go
@@ -83,8 +83,8 @@
 
 	mu     sync.Mutex
 	choice Choice
-	// candidates is a buffer that pick reuses to avoid allocations.
-	candidates []*member
+	// candidates and limited are buffers that pick reuses to avoid allocations.
+	candidates, limited []*member
 	// members is keyed by target ID, services and grantIntervals by service, and
 	// groups by group name.
 	members        map[string]*member
@@ -98,6 +98,9 @@
 	listGeneration int
 	// notices is keyed by target ID.
 	notices map[string]*notice
+	// limitVersion increases with each change of targets' limits of which other entries
+	// are told.
+	limitVersion uint64
 }
 
 // NewFleet returns a fleet without targets.
@@ -217,7 +220,7 @@
 }
 
 func (f *Fleet) pick(r Request, now time.Time) (*Lease, Verdict) {
-	f.candidates = f.candidates[:0]
+	f.candidates, f.limited = f.candidates[:0], f.limited[:0]
 	verdict := NoTarget
 	for _, m := range f.services[r.Service] {
 		if !m.isUsable(f.dataCentresOut) || slices.Contains(r.Tried, m.target.ID) {
@@ -227,11 +230,19 @@
 			continue
 		}
 		verdict = Full
-		if f.hasCapacity(m, r, now) {
+		if !f.hasCapacity(m, r, now) {
+			continue
+		}
+		if _, isLimited := m.notice.rateLimit(); isLimited {
+			f.limited = append(f.limited, m)
+		} else {
 			f.candidates = append(f.candidates, m)
 		}
 	}
 	best := f.choose(f.candidates, r, now)
+	if best == nil {
+		best = f.choose(f.limited, r, now)
+	}
 	if best == nil {
 		return nil, verdict
 	}
@@ -244,12 +255,15 @@
 	return &Lease{fleet: f, member: best, target: best.target, stream: r.Stream, grantedAt: now}, Granted
 }
 
-// hasCapacity reports whether the target stays within its attempt rate, its slots
-// and, for a new stream, the gap goal if it gets the request.
+// hasCapacity reports whether the target stays within its attempt rate, the limit that
+// it has named, its slots and, for a new stream, the gap goal if it gets the request.
 func (f *Fleet) hasCapacity(m *member, r Request, now time.Time) bool {
 	if r.MaxPerSecond > 0 && f.waitFor(m, newRateLimit(r.MaxPerSecond, time.Second), now) > 0 {
 		return false
 	}
+	if f.waitForLimit(m, now) > 0 {
+		return false
+	}
 	if m.target.Slots > 0 && m.load(now) >= m.target.Slots {
 		return false
 	}
--- a/internal/coordination/balance/fleet_test.go
+++ b/internal/coordination/balance/fleet_test.go
@@ -142,11 +142,11 @@
 		now = now.Add(1450 * time.Millisecond)
 		_, verdict := f.Pick(Request{Service: "bells"}, now)
 		c.Check(verdict, qt.Equals, NoTarget)
-		c.Check(f.BackoffRemaining("bells", now), qt.Equals, start.Add(3*time.Second).Sub(now))
+		c.Check(f.WaitForTarget("bells", now), qt.Equals, start.Add(3*time.Second).Sub(now))
 	}
 	other := fleet.Target{ID: "b", Service: "bells"}
 	f.Replace([]fleet.Target{listed, other}, now)
-	c.Check(f.BackoffRemaining("bells", now), qt.Equals, time.Duration(0))
+	c.Check(f.WaitForTarget("bells", now), qt.Equals, time.Duration(0))
 	f.Replace([]fleet.Target{listed}, now)
 	now = start.Add(3 * time.Second)
 	_, verdict := f.Pick(Request{Service: "bells"}, now)
--- a/internal/coordination/balance/notice.go
+++ b/internal/coordination/balance/notice.go
@@ -14,6 +14,7 @@
 	isLeaving bool
 	// backoffUntil is when the target accepts requests of this entry again.
 	backoffUntil time.Time
+	limit        namedLimit
 }
 
 // RecordLeaving records that the target said that it is leaving. It gets no further
@@ -21,32 +22,38 @@
 func (l *Lease) RecordLeaving() bool {
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
-	n := l.fleet.noticeOf(l)
-	isNew := !n.isLeaving
+	n := l.fleet.noticeOf(l.target.ID, l.target.StartedAtMs)
+	if n == nil || n.isLeaving {
+		return false
+	}
 	n.isLeaving = true
-	return isNew
+	return true
 }
 
 // RecordBackoff records that the target wants no request of this entry for a time.
 func (l *Lease) RecordBackoff(backoff time.Duration, now time.Time) {
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
-	n := l.fleet.noticeOf(l)
-	n.backoffUntil = later(n.backoffUntil, now.Add(backoff))
+	if n := l.fleet.noticeOf(l.target.ID, l.target.StartedAtMs); n != nil {
+		n.backoffUntil = later(n.backoffUntil, now.Add(backoff))
+	}
 }
 
-// noticeOf returns the notice of a lease's target, and adds one if there is none.
-func (f *Fleet) noticeOf(l *Lease) *notice {
-	id := l.target.ID
-	n := f.notices[id]
-	if n == nil || n.startedAtMs != l.target.StartedAtMs {
+// noticeOf returns the notice of one run of a target, and adds one if there is none. It
+// is nil if a later run is known.
+func (f *Fleet) noticeOf(id string, startedAtMs int64) *notice {
+	m, n := f.members[id], f.notices[id]
+	if n != nil && n.startedAtMs > startedAtMs || m != nil && m.target.StartedAtMs > startedAtMs {
+		return nil
+	}
+	if n == nil || n.startedAtMs != startedAtMs {
 		if len(f.notices) >= maxNotices {
 			f.removeUnlistedNotices()
 		}
-		n = &notice{startedAtMs: l.target.StartedAtMs}
+		n = &notice{startedAtMs: startedAtMs}
 		f.notices[id] = n
 	}
-	if m := f.members[id]; m != nil && m.target.StartedAtMs == n.startedAtMs {
+	if m != nil && m.target.StartedAtMs == startedAtMs {
 		m.notice = n
 	}
 	return n
@@ -60,13 +67,17 @@
 	}
 }
 
-// linkNotice gives a member the notice of its target, unless the target has started
-// again since.
+// linkNotice gives a member the notice of its target. One of an earlier run is dropped,
+// and one of a later run kept until the list has that run.
 func (f *Fleet) linkNotice(m *member) {
-	m.notice = f.notices[m.target.ID]
-	if m.notice != nil && m.notice.startedAtMs != m.target.StartedAtMs {
+	n := f.notices[m.target.ID]
+	m.notice = nil
+	switch {
+	case n == nil || n.startedAtMs > m.target.StartedAtMs:
+	case n.startedAtMs < m.target.StartedAtMs:
 		delete(f.notices, m.target.ID)
-		m.notice = nil
+	default:
+		m.notice = n
 	}
 }
 
@@ -78,23 +89,24 @@
 	return max(n.backoffUntil.Sub(now), 0)
 }
 
-// BackoffRemaining returns the time until the first of a service's targets accepts
-// requests again, if all usable ones have asked for a pause; 0 otherwise.
-func (f *Fleet) BackoffRemaining(service string, now time.Time) time.Duration {
+// WaitForTarget returns the time until the first of a service's targets accepts a request
+// of this entry again, if all usable ones have asked for a pause or have got what this
+// entry may send under their limits; 0 otherwise.
+func (f *Fleet) WaitForTarget(service string, now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	remaining := time.Duration(0)
+	shortest := time.Duration(0)
 	for _, m := range f.services[service] {
 		if !m.isUsable(f.dataCentresOut) {
 			continue
 		}
-		backoff := m.notice.backoffRemaining(now)
-		if backoff == 0 {
+		wait := max(m.notice.backoffRemaining(now), f.waitForLimit(m, now))
+		if wait <= 0 {
 			return 0
 		}
-		if remaining == 0 || backoff < remaining {
-			remaining = backoff
+		if shortest == 0 || wait < shortest {
+			shortest = wait
 		}
 	}
-	return remaining
+	return shortest
 }
--- a/internal/transport/gateway/entries.go
+++ b/internal/transport/gateway/entries.go
@@ -59,8 +59,10 @@
 		default:
 			// A stale list would also lack the new registration.
 			reads = 0
-			g.setEntries(append(lo.Keys(list), g.settings.Name), max(len(list)+1, initialEntryCount))
-			g.quarantine.setEntries(append(lo.Keys(list), g.settings.Name), len(list)+1, g.entryAddresses(list))
+			names := append(lo.Keys(list), g.settings.Name)
+			g.setEntries(names, max(len(list)+1, initialEntryCount))
+			g.quarantine.setEntries(names, len(names))
+			g.setPeers(g.entryAddresses(list))
 			if err := g.store.Register(ctx, g.settings.Name, g.settings.Address, g.settings.DataCentre); err == nil || errors.Is(err, platform.ErrConflict) {
 				if delay = housekeepingInterval; !justRegistered {
 					delay = 0 // the list has this entry now
@@ -83,9 +85,10 @@
 // reads is the number of reads since registration, this one included.
 func (g *Gateway) applyEntries(ctx context.Context, list map[string]platform.Entry, reads int, neighbour *membership.Neighbour) time.Duration {
 	g.setEntries(lo.Keys(list), len(list))
+	g.quarantine.setEntries(lo.Keys(list), len(list))
 	peers := g.entryAddresses(list)
 	g.readRoutes.SetPeers(peers)
-	g.quarantine.setEntries(lo.Keys(list), len(list), peers)
+	g.setPeers(peers)
 	if reads == 1 {
 		return secondReadDelay
 	}
@@ -110,11 +113,19 @@
 	return out
 }
 
+// setPeers sets the addresses of the other entries, with which lists are exchanged.
+func (g *Gateway) setPeers(addresses []string) {
+	g.peers.set(addresses)
+	known := lo.SliceToMap(addresses, func(address string) (string, bool) { return address, true })
+	g.quarantine.exchange.forgetOthers(known)
+	g.targetLimits.exchange.forgetOthers(known)
+}
+
 // entriesHandler serves the calls of other entries.
 func (g *Gateway) entriesHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc(pathQuarantine, g.quarantine.serveList)
-	mux.HandleFunc(pathQuarantineChanged, g.quarantine.serveNotice)
+	g.quarantine.exchange.register(mux)
+	g.targetLimits.exchange.register(mux)
 	mux.HandleFunc("/", g.relayRead)
 	return mux
 }
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -104,7 +104,7 @@
 		return lease, verdict
 	}
 	wait := balance.MaxQueueTime(x.latencyGoal.Sub(now), x.deadline.Sub(now), missedGoal)
-	if wait <= 0 || fleet.BackoffRemaining(x.service, now) > wait {
+	if wait <= 0 || fleet.WaitForTarget(x.service, now) > wait {
 		return nil, verdict
 	}
 	limit := maxQueued
@@ -165,18 +165,32 @@
 	}
 	x.reachedTarget, x.hasAttemptBegun = true, true
 	info := platform.ReadAnswer(res.StatusCode, res.Header)
+	x.recordNotice(lease, info)
+	return res, info, nil
+}
+
+// recordNotice records what a target said of itself in an answer.
+func (x *exchange) recordNotice(lease *balance.Lease, info platform.Answer) {
+	g, t := x.gateway, lease.Target()
 	if info.Leaving && lease.RecordLeaving() {
-		event.TargetAnnouncedLeaving.Log(x.gateway.log, "id", x.client.AttemptID, "target", t.ID)
-		x.gateway.pool.CloseIdle(t.Address)
+		event.TargetAnnouncedLeaving.Log(g.log, "id", x.client.AttemptID, "target", t.ID)
+		g.pool.CloseIdle(t.Address)
 	}
 	if info.RetryAfter > 0 {
 		lease.RecordBackoff(info.RetryAfter, time.Now())
-		event.TargetBackoff.Log(x.gateway.log, "id", x.client.AttemptID, "target", t.ID, "retry-after-ms", info.RetryAfter.Milliseconds())
+		event.TargetBackoff.Log(g.log, "id", x.client.AttemptID, "target", t.ID, "retry-after-ms", info.RetryAfter.Milliseconds())
 	}
 	if info.Load != nil {
 		lease.RecordLoad(info.Load.Running, info.Load.Waiting, time.Now())
 	}
-	return res, info, nil
+	switch {
+	case info.LimitError != nil:
+		event.TargetLimitInvalid.Log(g.log, "id", x.client.AttemptID, "target", t.ID, "error", info.LimitError.Error())
+	case info.Limit != nil && lease.RecordLimit(*info.Limit, process.BootTime()):
+		g.targetLimits.announce(balance.LimitChange{Target: t.ID, PerSecond: *info.Limit}, g.settings.Name)
+	case info.Limit == nil && info.Signed && lease.RecordNoLimit(process.BootTime()):
+		g.targetLimits.announce(balance.LimitChange{Target: t.ID}, g.settings.Name)
+	}
 }
 
 // maxSingleRunIdle is the longest idle time of a connection that is reused for a
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -79,7 +79,9 @@
 	pool            *upstream.Pool
 	metrics         *entryMetrics
 	clients         *clientConns
+	peers           *entryPeers
 	quarantine      *quarantineList
+	targetLimits    *limitList
 	pauses          *process.PauseWatch
 
 	traffic *http.Server
@@ -155,7 +157,9 @@
 		pauses:         process.NewPauseWatch(time.Now()),
 		stop:           stop,
 	}
-	g.quarantine = newQuarantineList(settings.Name, net.JoinHostPort(settings.Address, strconv.Itoa(settings.FirstPort)), g.store, log)
+	g.peers = newEntryPeers(net.JoinHostPort(settings.Address, strconv.Itoa(settings.FirstPort)), log)
+	g.quarantine = newQuarantineList(settings.Name, g.peers, g.store, log)
+	g.targetLimits = newLimitList(g.fleet, g.peers, log)
 	g.fleet.SetChoice(options.Choice)
 	g.bounds.Store(&settings.Bounds)
 	g.setEntries(nil, initialEntryCount)
@@ -185,9 +189,12 @@
 	g.background.Go(func() { g.maintainEntries(ctx) })
 	g.background.Go(func() { g.pollSlowdowns(ctx) })
 	g.background.Go(func() { g.quarantine.syncStore(ctx) })
-	g.background.Go(func() { g.quarantine.exchangeRegularly(ctx, g.quarantineExchangeInterval) })
-	g.background.Go(func() { g.quarantine.followNotices(ctx) })
-	g.background.Go(func() { g.quarantine.tellChanges(ctx) })
+	g.background.Go(func() { g.quarantine.exchange.exchangeRegularly(ctx, g.exchangeInterval) })
+	g.background.Go(func() { g.quarantine.exchange.followNotices(ctx) })
+	g.background.Go(func() { g.quarantine.exchange.tellChanges(ctx) })
+	g.background.Go(func() { g.targetLimits.exchange.exchangeRegularly(ctx, g.exchangeInterval) })
+	g.background.Go(func() { g.targetLimits.exchange.followNotices(ctx) })
+	g.background.Go(func() { g.targetLimits.exchange.tellChanges(ctx) })
 	g.background.Go(func() { process.Every(settingsPollInterval, ctx.Done(), func(time.Time) { g.Reload() }) })
 	if listeners.Operator != nil {
 		process.NewOperatorServer(listeners.Operator, metricSet, process.NewOperatorCallbacks(g.isReady, g.dump))
@@ -205,9 +212,9 @@
 	}
 }
 
-// quarantineExchangeInterval returns the time between two regular exchanges of the
-// quarantine list under the settings in force.
-func (g *Gateway) quarantineExchangeInterval() time.Duration {
+// exchangeInterval returns the time between two regular exchanges of a list with other
+// entries under the settings in force.
+func (g *Gateway) exchangeInterval() time.Duration {
 	return g.bounds.Load().StabilityWindow / exchangesPerWindow
 }
 
--- /dev/null
+++ b/internal/transport/gateway/limit_test.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bluebellcrank/platform/standin"
+)
+
+// limitingTarget is a target whose answers name a limit; an empty one is not named.
+type limitingTarget struct {
+	standin.Target
+	limit atomic.Value
+}
+
+func newLimitingTarget(id string) *limitingTarget {
+	t := &limitingTarget{Target: standin.Target{ID: id}}
+	t.limit.Store("")
+	t.Handler = func(w http.ResponseWriter, _ *http.Request) {
+		if limit := t.limit.Load().(string); limit != "" {
+			w.Header().Set("Server-Limit", limit)
+		}
+	}
+	return t
+}
+
+// TestTargetThatNamesALimit sends requests to a target that names a limit.
+func TestTargetThatNamesALimit(t *testing.T) {
+	const (
+		window = 4 * time.Second
+		sent   = 12
+	)
+	tests := []struct {
+		limit string
+		// most is how many requests may reach the target in the window.
+		most int
+	}{
+		{"0.5", 2}, {" 0.75 ", 3}, {"0.01", 1}, {"0", 1},
+		{"-1", sent}, {"NaN", sent}, {"Inf", sent}, {"soon", sent}, {"1e999", sent}, {"1e12", sent}, {"", sent},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("%q", tt.limit), func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t)
+			target := newLimitingTarget("t-0")
+			env.addTarget(&target.Target, "t-0", "bells")
+			env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets(time.Now())) == 1 })
+			target.limit.Store(tt.limit)
+			began := time.Now()
+			for n := range sent {
+				sentAt := time.Now()
+				got := env.do(env.request(order, fmt.Sprintf("a-%d", n), ""))
+				took := time.Since(sentAt)
+				if got.status == http.StatusOK {
+					continue
+				}
+				env.c.Check(got.status, qt.Equals, http.StatusServiceUnavailable)
+				env.c.Check(took < 100*time.Millisecond, qt.IsTrue, qt.Commentf("refused after %s", took))
+				retryAfter, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+				env.c.Check(err, qt.IsNil)
+				back := sentAt.Add(time.Duration(retryAfter * float64(time.Second)))
+				env.c.Check(back.Sub(began) > window-100*time.Millisecond, qt.IsTrue, qt.Commentf("Retry-After %v", retryAfter))
+			}
+			env.c.Check(target.Requests(), qt.HasLen, tt.most)
+			if tt.most == sent {
+				return
+			}
+			target.limit.Store("")
+			time.Sleep(window - time.Since(began) + 50*time.Millisecond)
+			for n := range sent {
+				env.c.Check(env.do(env.request(order, fmt.Sprintf("b-%d", n), "")).status, qt.Equals, http.StatusOK)
+			}
+		})
+	}
+}
+
+// TestEntriesKnowLimitsThatOthersWereTold has a target name a limit to one of two entries,
+// and no limit any more to the other one.
+func TestEntriesKnowLimitsThatOthersWereTold(t *testing.T) {
+	// spread is the time until other entries know.
+	const spread = time.Second
+	env := newTestEnv(t)
+	target := newLimitingTarget("t-0")
+	env.addTarget(&target.Target, "t-0", "bells")
+	gateways := []*Gateway{env.gateway, env.addEntry("entry-2", "127.0.0.2", env.storeAddress)}
+	env.eventually("entries know each other", func() bool { return gateways[0].entryCount.Load() == 2 && gateways[1].entryCount.Load() == 2 })
+	limitAt := func(g *Gateway) float64 {
+		targets := g.fleet.Targets(time.Now())
+		if len(targets) != 1 {
+			return -1
+		}
+		return targets[0].LimitPerSecond
+	}
+	send := func(g *Gateway, id string) {
+		env.address = g.settings.TrafficListen
+		env.eventually("an entry serves", func() bool { return env.do(env.request(order, id, "")).status == http.StatusOK })
+	}
+	target.limit.Store("3")
+	send(gateways[0], "a-0")
+	time.Sleep(spread)
+	env.c.Check(limitAt(gateways[1]), qt.Equals, 3.0)
+	gateways = append(gateways, env.addEntry("entry-3", "127.0.0.3", env.storeAddress))
+	env.eventually("an entry that starts knows the limit", func() bool { return limitAt(gateways[2]) == 3 })
+	target.limit.Store("")
+	send(gateways[1], "a-1")
+	time.Sleep(spread)
+	for _, g := range gateways {
+		env.c.Check(limitAt(g), qt.Equals, 0.0, qt.Commentf("%s", g.settings.Name))
+	}
+}
--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -83,15 +83,24 @@
 	case verdict == balance.NoTarget:
 		x.refuse(refusal.NoTarget, x.noTargetDelay(time.Now()))
 	default:
-		x.refuse(refusal.Full, retryDelay(minRetryDelay, maxRetryDelay))
+		x.refuse(refusal.Full, x.fullDelay(time.Now()))
 	}
 }
 
+// fullDelay returns the time after which a client whose request found no target with
+// capacity is told to retry.
+func (x *exchange) fullDelay(now time.Time) time.Duration {
+	if wait := x.gateway.fleet.WaitForTarget(x.service, now); wait > 0 && wait < balance.Never {
+		return wait + retryDelay(0, maxRetryDelay)
+	}
+	return retryDelay(minRetryDelay, maxRetryDelay)
+}
+
 // noTargetDelay returns the time after which a client whose request found no target is
 // told to retry.
 func (x *exchange) noTargetDelay(now time.Time) time.Duration {
-	if backoff := x.gateway.fleet.BackoffRemaining(x.service, now); backoff > 0 {
-		return backoff + retryDelay(0, maxRetryDelay)
+	if x.gateway.fleet.WaitForTarget(x.service, now) > 0 {
+		return x.fullDelay(now)
 	}
 	return retryDelay(x.gateway.recordOutage(x.service, now))
 }
--- a/internal/transport/gateway/quarantinelist.go
+++ b/internal/transport/gateway/quarantinelist.go
@@ -2,9 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"net/http"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -19,66 +16,57 @@
 	"bluebellcrank/platform"
 )
 
-// maxPendingNotices bounds the notices, and the keys for the store, that wait. A notice that
-// is dropped is made up for by the next regular exchange.
-const maxPendingNotices = 32
+const (
+	// pathQuarantine serves an entry's quarantine list to the others.
+	pathQuarantine = "/quarantine"
+	// maxUnsavedKeys bounds the keys that wait for the store.
+	maxUnsavedKeys = 32
+)
 
 // quarantineList is the list of the requests that crash targets. It is exchanged with
 // other entries, and what is quarantined is kept in the store, so that it outlives all
 // entries. It is safe for concurrent use.
 type quarantineList struct {
-	self   string
-	store  *platform.Store
-	log    hclog.Logger
-	client *http.Client
-	// id identifies this run of the entry.
-	id uint64
-
-	// changed receives a value when there is something to tell the other entries,
-	// notices the addresses of those that have something to tell, and unsaved the keys
-	// whose state in the store is to be replaced.
-	changed chan struct{}
-	notices chan string
+	self     string
+	store    *platform.Store
+	log      hclog.Logger
+	exchange *listExchange[quarantine.Report]
+	// unsaved receives the keys whose state in the store is to be replaced.
 	unsaved chan quarantine.Key
 
 	mu    sync.Mutex
 	list  *quarantine.List
 	names []string
 	count int
-	// address is where the other entries reach this one.
-	address string
-	peers   []string
-	// known has the state of the lists of other entries that was read last, by address.
-	known map[string]quarantineReply
 }
 
-func newQuarantineList(self, address string, store *platform.Store, log hclog.Logger) *quarantineList {
-	return &quarantineList{
-		self: self, address: address, store: store, log: log, id: rand.Uint64(),
-		client:  &http.Client{Timeout: maxQuarantineRoundTrip},
-		changed: make(chan struct{}, 1),
-		notices: make(chan string, maxPendingNotices),
-		unsaved: make(chan quarantine.Key, maxPendingNotices),
+func newQuarantineList(self string, peers *entryPeers, store *platform.Store, log hclog.Logger) *quarantineList {
+	q := &quarantineList{
+		self: self, store: store, log: log,
+		unsaved: make(chan quarantine.Key, maxUnsavedKeys),
 		list:    quarantine.NewList(process.BootTime()),
-		known:   map[string]quarantineReply{},
 	}
+	q.exchange = newListExchange(peers, pathQuarantine, listSource[quarantine.Report]{read: q.reports, merge: q.merge})
+	return q
 }
 
-// setEntries sets the names of the entries and their number, and the addresses of the
-// others.
-func (q *quarantineList) setEntries(names []string, count int, peers []string) {
+// setEntries sets the names of the entries and their number.
+func (q *quarantineList) setEntries(names []string, count int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.names, q.count = names, count
-	if peers == nil {
-		return
-	}
-	q.peers = peers
-	for peer := range q.known {
-		if !slices.Contains(peers, peer) {
-			delete(q.known, peer)
-		}
-	}
+}
+
+// reports returns the version of the list and what has changed after a version.
+func (q *quarantineList) reports(after uint64, now time.Duration) (uint64, []quarantine.Report) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.list.Version(), q.list.Reports(after, now)
+}
+
+// merge adds what another entry reported between the time at which it was asked and now.
+func (q *quarantineList) merge(reports []quarantine.Report, askedAt, now time.Duration, peer string) {
+	q.update(func(l *quarantine.List) quarantine.Changes { return l.Merge(reports, askedAt, now) }, peer)
 }
 
 // wait returns how much longer a request must not be sent.
@@ -130,10 +118,7 @@
 		event.QuarantineEnded.Log(q.log, "key", keyName(k), "source", source)
 	}
 	if hasNews {
-		select {
-		case q.changed <- struct{}{}:
-		default: // the others will be told already
-		}
+		q.exchange.announce()
 	}
 	return append(c.Quarantined(), c.Released()...)
 }
