A notice of the target that got an address counts for no other target

An entry that still has an address under its former target gets 421 from the one that has it now. If that answer says that its target is leaving, or names a limit, it was recorded for the former target. Where that one runs on at another address, it got no request any more: TestNoticeOfAnotherTarget waited 10 s in vain. Such an answer says nothing about the target that was meant.

--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -165,7 +165,9 @@
 	}
 	x.reachedTarget, x.hasAttemptBegun = true, true
 	info := platform.ReadAnswer(res.StatusCode, res.Header)
-	x.recordNotice(lease, info)
+	if !info.WrongTarget {
+		x.recordNotice(lease, info)
+	}
 	return res, info, nil
 }
 
--- a/internal/transport/gateway/limit_test.go
+++ b/internal/transport/gateway/limit_test.go
@@ -114,3 +114,23 @@
 		env.c.Check(limitAt(g), qt.Equals, 0.0, qt.Commentf("%s", g.settings.Name))
 	}
 }
+
+// TestNoticeOfAnotherTarget has the target that got an address after another one refuse
+// requests for that one, name a limit and say that it is leaving.
+func TestNoticeOfAnotherTarget(t *testing.T) {
+	env := newTestEnv(t)
+	old := &standin.Target{ID: "t-0"}
+	env.addTarget(old, "t-0", "bells")
+	address := env.addTarget(&standin.Target{ID: "t-1", Refusal: http.Header{"Server-Limit": {"0.5"}, "Server-Leaving": {"1"}}}, "t-1", "drafts")
+	env.putTarget("t-0", "bells", address, "serving")
+	env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets(time.Now())) == 2 })
+	time.Sleep(200 * time.Millisecond)
+	env.do(env.request(order, "a-0", ""))
+	target := newLimitingTarget("t-0")
+	env.addTarget(&target.Target, "t-0", "bells")
+	env.eventually("the target serves at its own address", func() bool { return env.do(env.request(order, "a-1", "")).status == http.StatusOK })
+	for _, s := range env.gateway.fleet.Targets(time.Now()) {
+		env.c.Check(s.LimitPerSecond, qt.Equals, 0.0, qt.Commentf("%s", s.ID))
+		env.c.Check(s.Leaving, qt.IsFalse, qt.Commentf("%s", s.ID))
+	}
+}
