--- a/cmd/bluebellcrank/status.go
+++ b/cmd/bluebellcrank/status.go
@@ -30,6 +30,9 @@
 		return err
 	}
 	defer fleet.Close()
+	for _, err := range fleet.InvalidInstances() {
+		fmt.Fprintln(os.Stderr, "warning:", err)
+	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(w, "INSTANCE\tROLE\tDATA CENTRE\tREVISION\tSERVICE\tRUNNING\tWAITING\tLIMIT\tSTATE")
 	unresponsive := 0
--- a/platform/nesting.go
+++ b/internal/protocol/nesting/nesting.go
@@ -1,23 +1,23 @@
-package platform
+package nesting
 
 import (
 	"bytes"
 	"errors"
 )
 
-// maxNesting is the depth up to which an answer of the store is decoded; no object of the
-// platform is nested as deeply. encoding/json refuses a whole answer in which one value is
-// nested 10,000 deep.
+// maxNesting is the depth up to which values are kept; no object of a platform is nested
+// as deeply. encoding/json refuses a whole text in which one value is nested 10,000 deep.
 const maxNesting = 100
 
 // tooDeep replaces a value that is nested more deeply than maxNesting.
 var tooDeep = []byte(`"bluebellcrank: nested too deeply"`)
 
-var errTooDeep = errors.New("platform: the object is nested too deeply")
+// ErrTooDeep reports that a value was cut.
+var ErrTooDeep = errors.New("nesting: the value is nested too deeply")
 
-// cutDeepValues returns a JSON text in which each value that begins below maxNesting is
+// Cut returns a JSON text in which each value that begins below maxNesting is
 // replaced by tooDeep. The text is returned as it is if there is none.
-func cutDeepValues(text []byte) []byte {
+func Cut(text []byte) []byte {
 	var out []byte
 	depth, copied := 0, 0
 	inString, isEscaped := false, false
@@ -46,5 +46,5 @@
 	return append(out, text[copied:]...)
 }
 
-// hasDeepValue reports whether a part of a JSON text was cut.
-func hasDeepValue(text []byte) bool { return bytes.Contains(text, tooDeep) }
+// IsCut reports whether a part of a JSON text was cut.
+func IsCut(text []byte) bool { return bytes.Contains(text, tooDeep) }
--- a/internal/protocol/platform/client.go
+++ b/internal/protocol/platform/client.go
@@ -4,12 +4,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/url"
 	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"bluebellcrank/internal/protocol/nesting"
 	"bluebellcrank/internal/state/target"
 )
 
@@ -133,16 +135,20 @@
 	return getJSON[[]string](c, "/objects?prefix="+url.QueryEscape(prefix))
 }
 
-// Instances returns the platform's instance list, which can be out of date.
-func (c *Client) Instances() ([]target.Instance, error) {
-	list, _, err := c.InstancesIfChanged("")
-	return list, err
+// InstanceList is the platform's instance list as it was read. Its fields are exported,
+// because they are plain decoded values.
+type InstanceList struct {
+	Instances []target.Instance
+	// Invalid has one error for each element that describes no instance.
+	Invalid []error
+	// Tag identifies the content; empty if the platform supports no entity tags.
+	Tag string
 }
 
-// InstancesIfChanged returns the instance list and its entity tag, or ErrUnchanged
-// if the list still has the given tag. A platform that does not support entity tags
-// always returns the list.
-func (c *Client) InstancesIfChanged(tag string) ([]target.Instance, string, error) {
+// Instances returns the platform's instance list, which can be out of date, or
+// ErrUnchanged if the list still has the given tag. A platform that does not support
+// entity tags always returns the list.
+func (c *Client) Instances(tag string) (InstanceList, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -151,13 +157,59 @@
 		req.Header.Set("If-None-Match", tag)
 	}
 	if err := c.do(req, resp, c.timeout); err != nil {
-		return nil, tag, err
+		return InstanceList{Tag: tag}, err
 	}
-	var out []target.Instance
-	if err := json.Unmarshal(resp.Body(), &out); err != nil {
-		return nil, tag, fmt.Errorf("%w: instance list: %v", ErrUnavailable, err)
+	list, err := decodeInstances(resp.Body())
+	if err != nil {
+		return InstanceList{Tag: tag}, fmt.Errorf("%w: instance list: %v", ErrUnavailable, err)
+	}
+	list.Tag = string(resp.Header.Peek(etagHeader))
+	return list, nil
+}
+
+// decodeInstances decodes each element by itself, so that one that another writer has
+// stored in a form of its own does not hide the others.
+func decodeInstances(text []byte) (InstanceList, error) {
+	var elements []json.RawMessage
+	if err := json.Unmarshal(nesting.Cut(text), &elements); err != nil {
+		return InstanceList{}, err
+	}
+	var out InstanceList
+	for n, element := range elements {
+		instance, err := decodeInstance(element)
+		if err != nil {
+			out.Invalid = append(out.Invalid, fmt.Errorf("platform: instance %q, element %d of the list: %w", instance.ID, n, err))
+			continue
+		}
+		out.Instances = append(out.Instances, instance)
+	}
+	return out, nil
+}
+
+func decodeInstance(text []byte) (target.Instance, error) {
+	var i target.Instance
+	if err := json.Unmarshal(text, &i); err != nil {
+		return i, err
+	}
+	if nesting.IsCut(text) {
+		return i, nesting.ErrTooDeep
+	}
+	if i.ID == "" {
+		return i, errors.New("the id is missing")
+	}
+	for _, address := range []string{i.Peer, i.Traffic} {
+		if address == "" {
+			continue
+		}
+		_, port, err := net.SplitHostPort(address)
+		if err != nil {
+			return i, err
+		}
+		if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+			return i, fmt.Errorf("%q has no port from 1 to 65535", address)
+		}
 	}
-	return out, string(resp.Header.Peek(etagHeader)), nil
+	return i, nil
 }
 
 func getJSON[T any](c *Client, path string) (T, error) {
--- a/internal/transport/member/list.go
+++ b/internal/transport/member/list.go
@@ -9,6 +9,7 @@
 	"bluebellcrank/internal/coordination/revision"
 	"bluebellcrank/internal/protocol/peer"
 	"bluebellcrank/internal/protocol/platform"
+	"bluebellcrank/internal/state/event"
 	"bluebellcrank/internal/state/target"
 	"bluebellcrank/internal/transport/process"
 )
@@ -28,9 +29,12 @@
 	}
 	m.listReadMu.Lock()
 	defer m.listReadMu.Unlock()
-	list, tag, err := m.platform.InstancesIfChanged(m.listTag)
-	m.listTag = tag
-	read := membership.New(list, now)
+	list, err := m.platform.Instances(m.listTag)
+	m.listTag = list.Tag
+	for _, err := range list.Invalid {
+		event.TargetInvalid.Log(m.log, "error", err.Error())
+	}
+	read := membership.New(list.Instances, now)
 	if errors.Is(err, platform.ErrUnchanged) {
 		read, err = m.lastListRead.ConfirmedAt(now), nil
 	}
--- a/internal/transport/operator/fleet.go
+++ b/internal/transport/operator/fleet.go
@@ -32,20 +32,26 @@
 // Fleet queries the processes on the platform's instance list. The list is read once.
 type Fleet struct {
 	instances []target.Instance
+	invalid   []error
 	pool      *peer.Pool
 }
 
 // NewFleet reads the instance list from the platform. The timeout applies to each
 // call to a process.
 func NewFleet(client *platform.Client, timeout time.Duration) (*Fleet, error) {
-	list, err := client.Instances()
+	list, err := client.Instances("")
 	if err != nil {
 		return nil, err
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
-	return &Fleet{instances: list, pool: peer.NewPool(timeout)}, nil
+	instances := list.Instances
+	sort.Slice(instances, func(i, j int) bool { return instances[i].ID < instances[j].ID })
+	return &Fleet{instances: instances, invalid: list.Invalid, pool: peer.NewPool(timeout)}, nil
 }
 
+// InvalidInstances returns one error for each element of the instance list that describes
+// no process.
+func (f *Fleet) InvalidInstances() []error { return f.invalid }
+
 // Close closes the connections to the processes.
 func (f *Fleet) Close() { f.pool.Close() }
 
