An entry that stops takes no request that may outlast it, and answers the last ones

Told by operators of similar systems: in a planned stop, requests that came late in the grace period were taken and passed on, and cut at its end without an answer, among them some that may not be repeated. It could happen here to requests whose header or body came slowly on a connection from before the stop, and to those that lasted longer: at the end, 400 ms before the process is killed, all connections were closed.

Half a second after the last new connection, a request whose time goes beyond the end is refused at once, as not run, so that its caller goes to another entry. What is still in flight at the end is answered 504 (503 if it has not run), for which there are 200 ms. Streams that have begun are still cut then.

--- a/internal/transport/gateway/drain_test.go
+++ b/internal/transport/gateway/drain_test.go
@@ -108,3 +108,71 @@
 		c.Errorf("%d requests were cut, the first one: %s", len(d.cut), d.cut[0])
 	}
 }
+
+// TestLateRequestsOfAPlannedStop has requests arrive slowly at an entry that stops, and one
+// that outlasts it. Each must get an answer, and none may run that says that it has not.
+func TestLateRequestsOfAPlannedStop(t *testing.T) {
+	const grace = 2400 * time.Millisecond
+	long := order
+	long.timeoutMs = 8000
+	const (
+		head = "POST /order/x HTTP/1.1\r\nHost: guild.example\r\nAttempt-Id: late\r\nDeadline-Ms: 8000\r\nAuthorization: Token " + testKey + "\r\nContent-Length: 2\r\n"
+		body = "\r\nok"
+	)
+	tests := []struct {
+		name string
+		// first is sent before the stop, and the rest after a time.
+		first string
+		after time.Duration
+		work  time.Duration
+		// status is the answer's, and runs is whether the target runs the request.
+		status int
+		runs   bool
+	}{
+		{"a header that ends soon", head, 900 * time.Millisecond, 100 * time.Millisecond, http.StatusOK, true},
+		{"a header that ends late", head[:100], 1600 * time.Millisecond, 100 * time.Millisecond, http.StatusServiceUnavailable, false},
+		{"a body that ends late", head + body[:3], 1600 * time.Millisecond, 5 * time.Second, http.StatusServiceUnavailable, false},
+		{"a request that outlasts the entry", head + body, 0, 5 * time.Second, http.StatusGatewayTimeout, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t)
+			env.configure(testKey, long)
+			s := *env.settings.Load()
+			s.Bounds.GracePeriod = grace
+			env.settings.Store(&s)
+			env.gateway.Reload()
+			var runs atomic.Int32
+			env.addTarget(&standin.Target{ID: "t-0", Handler: func(_ http.ResponseWriter, r *http.Request) {
+				runs.Add(1)
+				select {
+				case <-time.After(tt.work):
+				case <-r.Context().Done():
+				}
+			}}, "t-0", "bells")
+			env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets(time.Now())) == 1 })
+			time.Sleep(100 * time.Millisecond)
+			conn, err := net.Dial("tcp", env.address)
+			env.c.Assert(err, qt.IsNil)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, tt.first)
+			env.c.Assert(err, qt.IsNil)
+			time.Sleep(50 * time.Millisecond)
+			began := time.Now()
+			go func() {
+				env.gateway.Drain()
+				env.gateway.Close()
+			}()
+			time.Sleep(tt.after)
+			_, err = io.WriteString(conn, (head + body)[len(tt.first):])
+			env.c.Assert(err, qt.IsNil)
+			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			env.c.Assert(err, qt.IsNil)
+			_ = answer.Body.Close()
+			env.c.Check(time.Since(began) < grace, qt.IsTrue)
+			env.c.Check(answer.StatusCode, qt.Equals, tt.status)
+			env.c.Check(runs.Load() > 0, qt.Equals, tt.runs)
+		})
+	}
+}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -38,8 +38,14 @@
 	// are still open when an entry stops.
 	connectionCheckInterval = 10 * time.Millisecond
 	// graceMargin is how long before the end of the grace period, when the process
-	// is killed, it exits by itself.
-	graceMargin = 400 * time.Millisecond
+	// is killed, the requests that are still in flight are ended with an answer, and
+	// lastAnswersTime is how long those answers may take before the process exits.
+	graceMargin     = 400 * time.Millisecond
+	lastAnswersTime = 200 * time.Millisecond
+	// lateRequestMargin is how long after the last new connection a request may be read
+	// and still be taken by an entry that stops, although it may last longer than the
+	// entry does.
+	lateRequestMargin = 500 * time.Millisecond
 	// headerTimeout bounds the time in which a client sends its request header. A
 	// shorter limit of the configuration goes before it.
 	headerTimeout = 5 * time.Second
@@ -96,6 +102,11 @@
 
 	entryCount atomic.Int64
 	draining   atomic.Bool
+	// drainStart is when the entry began to stop; it is set before draining.
+	drainStart time.Time
+	// lastCall ends graceMargin before the grace period of an entry that stops.
+	lastCall    context.Context
+	endLastCall context.CancelFunc
 	wasReady   atomic.Bool
 
 	mu           sync.Mutex
@@ -158,6 +169,7 @@
 		stop:           stop,
 	}
 	g.peers = newEntryPeers(net.JoinHostPort(settings.Address, strconv.Itoa(settings.FirstPort)), log)
+	g.lastCall, g.endLastCall = context.WithCancel(context.Background())
 	g.quarantine = newQuarantineList(settings.Name, g.peers, g.store, log)
 	g.targetLimits = newLimitList(g.fleet, g.peers, log)
 	g.fleet.SetChoice(options.Choice)
@@ -298,36 +310,64 @@
 	}
 }
 
+// drainNotice returns how long an entry that stops still accepts connections.
+func (g *Gateway) drainNotice() time.Duration {
+	return min(drainNoticePeriod, g.bounds.Load().GracePeriod/3)
+}
+
+// isTooLate reports whether a request that may last for some time was read so late that
+// an entry that stops may end before it. Other entries serve it.
+func (g *Gateway) isTooLate(duration time.Duration, now time.Time) bool {
+	if !g.draining.Load() || now.Sub(g.drainStart) < g.drainNotice()+lateRequestMargin {
+		return false
+	}
+	return now.Add(duration).After(g.drainStart.Add(g.bounds.Load().GracePeriod - graceMargin))
+}
+
 // Drain deregisters the entry, fails its readiness checks so that the platform
-// directs clients to other entries, and returns when no request is in flight or
-// graceMargin before the end of the grace period.
+// directs clients to other entries, and returns when no request is in flight.
+// graceMargin before the end of the grace period it ends those that are.
 func (g *Gateway) Drain() {
-	began := time.Now()
+	g.drainStart = time.Now()
 	g.draining.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), g.bounds.Load().GracePeriod-graceMargin)
 	defer cancel()
 	if err := g.store.Deregister(ctx, g.settings.Name); err != nil {
 		event.StoreWriteFailed.Log(g.log, "error", err.Error())
 	}
-	time.Sleep(min(drainNoticePeriod, g.bounds.Load().GracePeriod/3) - time.Since(began))
+	time.Sleep(g.drainNotice() - time.Since(g.drainStart))
 	// Shutdown of http.Server is not used: it drops a request that it reads after
 	// its call.
 	if err := g.trafficListener.Close(); err != nil {
 		event.ListenerFailed.Log(g.log, "error", err.Error())
 	}
+	if g.closeConnectionsUntil(ctx.Done()) {
+		return
+	}
+	event.AnswerInterrupted.Log(g.log, "connections", g.clients.openCount(), "error", ctx.Err().Error())
+	g.endLastCall()
+	last, stop := context.WithTimeout(context.Background(), lastAnswersTime)
+	defer stop()
+	g.closeConnectionsUntil(last.Done())
+}
+
+// closeConnectionsUntil closes the connections that carry no request until none is left,
+// and reports whether that was before done.
+func (g *Gateway) closeConnectionsUntil(done <-chan struct{}) bool {
 	for g.clients.closeUnused(time.Now()) > 0 {
 		select {
 		case <-time.After(connectionCheckInterval):
-		case <-ctx.Done():
-			event.AnswerInterrupted.Log(g.log, "connections", g.clients.openCount(), "error", ctx.Err().Error())
-			return
+		case <-done:
+			return false
 		}
 	}
+	return true
 }
 
 // Close stops the entry at once and aborts the requests in flight.
 func (g *Gateway) Close() {
 	g.stop()
+	g.endLastCall()
 	_ = g.traffic.Close()
 	_ = g.ready.Close()
 	_ = g.relay.Close()
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -48,6 +48,10 @@
 		}
 		x.setDeadline(now)
 	}
+	if g.isTooLate(time.Until(x.deadline), time.Now()) {
+		x.refuse(refusal.Leaving, retryDelay(0, minRetryDelay))
+		return
+	}
 	x.suspect = x.newSuspect()
 	if wait := g.quarantine.wait(x.suspect, process.BootTime()); wait > 0 {
 		g.metrics.quarantined.Inc()
@@ -58,6 +62,7 @@
 	x.isRepeated = g.recordDeadline(x.route.Name, x.client.Timeout) || x.client.LastEventID != ""
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
+	defer context.AfterFunc(g.lastCall, cancel)()
 	g.recordFirstAttempt(x.service, now)
 	if x.route.Kind == routing.Stream {
 		x.serveStream(ctx)
