Silent connections to targets are noticed after a second

Three causes, of one class: a connection, or what is known of its target, is trusted longer than its reason.

- Bytes that nobody acknowledges were waited for 2 s, 1 s now.
- A stream counted as silent only if its target sent nothing on any connection, so that it waited for the keep-alive probes while others of that target went on.
A stream that has begun counts by itself now, and moves without its target being suspended.
- The next attempt took another idle connection that was silent as well.
Once one is found, the idle ones to all targets that carried nothing since are closed (event 3014).

--- a/internal/coordination/balance/fleet.go
+++ b/internal/coordination/balance/fleet.go
@@ -70,7 +70,9 @@
 	target    fleet.Target
 	stream    bool
 	grantedAt time.Time
-	done      bool
+	// lastEventAt is the time of the last event of the stream; zero before the first.
+	lastEventAt time.Time
+	done        bool
 }
 
 // Target returns the target as it was when the lease was granted.
@@ -297,7 +299,7 @@
 	f := l.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	l.member.lastEventAt = now
+	l.lastEventAt, l.member.lastEventAt = now, now
 	l.member.group.recordEvent(now)
 	if gap > 0 {
 		l.member.group.stepTime.recordGap(gap, now)
@@ -346,14 +348,28 @@
 	return l.member.group.checkStall(now)
 }
 
-// IsSilent reports whether the target has sent no event to this entry's streams
-// for the silence timeout, although other ranks of its group have.
+// IsSilent reports whether a stream gets no event for the silence timeout although other
+// ranks of its group send some: its connection carries nothing any more, or its target is
+// silent. A stream without its first event may wait for its prompt to be read, so that it
+// counts only if its target sends nothing to any of this entry's streams.
 func (l *Lease) IsSilent(now time.Time) bool {
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
 	m := l.member
 	timeout := max(silenceTimeout, silenceGaps*m.group.stepTime.longTermMean)
-	return m.group.isRankGroup && now.Sub(later(l.grantedAt, m.lastEventAt)) > timeout && now.Sub(m.group.lastEventAt) < stallTimeout
+	silentSince := l.lastEventAt
+	if silentSince.IsZero() {
+		silentSince = later(l.grantedAt, m.lastEventAt)
+	}
+	return m.group.isRankGroup && now.Sub(silentSince) > timeout && now.Sub(m.group.lastEventAt) < stallTimeout
+}
+
+// IsTargetActive reports whether the target has just sent an event to one of this entry's
+// streams.
+func (l *Lease) IsTargetActive(now time.Time) bool {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	return now.Sub(l.member.lastEventAt) < stallTimeout
 }
 
 // RecordLoad records the numbers of running and waiting requests that the target
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -57,6 +57,8 @@
 	suspect quarantine.Suspect
 	// hasAttemptBegun is set if the target has begun to answer the current attempt.
 	hasAttemptBegun bool
+	// attemptActiveAt is when the current attempt was sent, or brought its last event.
+	attemptActiveAt time.Time
 	// attemptEvents counts the events that the current attempt has brought.
 	attemptEvents int
 	// longestGap is the longest time between consecutive events of one segment,
@@ -137,6 +139,7 @@
 	x.targetID, x.attemptEvents, x.hasAttemptBegun = t.ID, 0, false
 	x.tried = append(x.tried, t.ID)
 	now := time.Now()
+	x.attemptActiveAt = now
 	header := platform.ForwardHeader(x.request.Header, platform.TargetRequest{
 		TargetID:    t.ID,
 		Account:     x.account,
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -107,7 +107,7 @@
 	// lastCall ends graceMargin before the grace period of an entry that stops.
 	lastCall    context.Context
 	endLastCall context.CancelFunc
-	wasReady   atomic.Bool
+	wasReady    atomic.Bool
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retry.Share
--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -226,6 +226,17 @@
 		return
 	}
 	x.gateway.pool.CloseIdle(lease.Target().Address)
+	isSilentConn := errors.Is(err, errSilentConn)
+	if isSilentConn || upstream.IsSilent(err) {
+		if closed := x.gateway.pool.CloseUnused(x.attemptActiveAt); closed > 0 {
+			event.SilentConnectionsClosed.Log(x.gateway.log, "id", x.client.AttemptID, "target", lease.Target().ID,
+				"connections", closed, "silent-ms", time.Since(x.attemptActiveAt).Milliseconds())
+		}
+	}
+	if isSilentConn {
+		lease.Done(balance.Abandoned, 0, time.Now())
+		return
+	}
 	lease.Done(balance.Failed, 0, time.Now())
 }
 
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -138,6 +138,8 @@
 	errStalled = errors.New("the target's rank group is stalled")
 	errSlow    = errors.New("the target slows its rank group down")
 	errSilent  = errors.New("the target sends no events while its rank group does")
+	// errSilentConn is the error of a connection that an end has lost track of.
+	errSilentConn = errors.New("the connection brings no events while its target sends some on others")
 )
 
 // watchStall starts a timer that cancels a segment when its target is silent or
@@ -152,6 +154,9 @@
 		case movable && lease.CheckGroupStall(now):
 			cancel(errStalled)
 			return
+		case movable && lease.IsSilent(now) && lease.IsTargetActive(now):
+			cancel(errSilentConn)
+			return
 		case movable && lease.IsSilent(now):
 			cancel(errSilent)
 			return
@@ -217,6 +222,7 @@
 		// A stalled target may still send comments that keep the connection open.
 		if !events.isEmpty {
 			stallTimer.Reset(stallCheckDelay)
+			x.attemptActiveAt = now
 			if x.attemptEvents++; x.attemptEvents == provenEvents {
 				x.recordProof()
 			}
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -18,14 +18,15 @@
 	maxHeadBytes  = 64 << 10
 	maxStrayBytes = 256 << 10
 	// probeIdle, probeInterval and probeCount configure TCP keep-alive so that
-	// it detects a vanished target in about 3 s. By then a client has given up
+	// it detects a vanished target in 2 to 3 s. By then a client has given up
 	// on a silent stream.
 	probeIdle     = time.Second
 	probeInterval = time.Second
 	probeCount    = 2
 	// unackedTimeout is how long sent bytes may stay unacknowledged before the
-	// connection is closed (TCP_USER_TIMEOUT).
-	unackedTimeout = 2 * time.Second
+	// connection is closed (TCP_USER_TIMEOUT). Bytes that are lost are sent again
+	// after 0.2 and 0.6 s, and clients give up on a silent stream after 2 s.
+	unackedTimeout = time.Second
 )
 
 // errTooLong means that a target sent more bytes than a response may have.
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -61,6 +62,10 @@
 // Sent reports whether the target may have seen the request.
 func (e *SendError) Sent() bool { return e.mayBeSent }
 
+// IsSilent reports whether an error of a request or of its response means that the target's
+// end of the connection acknowledges nothing.
+func IsSilent(err error) bool { return errors.Is(err, syscall.ETIMEDOUT) }
+
 // IsBrokenByTarget reports whether an error of a request or of its response means that
 // the target's end of the connection was closed or reset.
 func IsBrokenByTarget(err error) bool {
@@ -333,6 +338,26 @@
 	return false
 }
 
+// CloseUnused closes the idle connections to all targets that have carried no answer
+// since a time, and returns their number. When one open connection has gone silent, they
+// may be silent as well.
+func (p *Pool) CloseUnused(since time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	closed := 0
+	for address, list := range p.idle {
+		p.idle[address] = slices.DeleteFunc(list, func(c *conn) bool {
+			if !c.lastUsed.Before(since) {
+				return false
+			}
+			_ = c.Close()
+			closed++
+			return true
+		})
+	}
+	return closed
+}
+
 // CloseIdle closes the idle connections to a target. After a failed request they
 // may be dead as well.
 func (p *Pool) CloseIdle(address string) {
--- a/internal/transport/upstream/pool_test.go
+++ b/internal/transport/upstream/pool_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -114,3 +116,30 @@
 		})
 	}
 }
+
+// TestUnusedConnectionsAreClosed has idle connections to two targets, of which one has
+// carried an answer since another connection went silent.
+func TestUnusedConnectionsAreClosed(t *testing.T) {
+	c := qt.New(t)
+	p := NewPool(func() {})
+	do := func(address string) {
+		res, err := p.Do(t.Context(), newRequest(address))
+		c.Assert(err, qt.IsNil)
+		_, err = io.Copy(io.Discard, res.Body)
+		c.Assert(err, qt.IsNil)
+		res.MarkBodyRead()
+		res.Close(time.Now())
+	}
+	var addresses []string
+	for range 2 {
+		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		t.Cleanup(server.Close)
+		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
+		do(addresses[len(addresses)-1])
+	}
+	since := time.Now()
+	do(addresses[1])
+	c.Check(p.CloseUnused(since), qt.Equals, 1)
+	c.Check(p.idle[addresses[0]], qt.HasLen, 0)
+	c.Check(p.idle[addresses[1]], qt.HasLen, 1)
+}
