Entries lend each other attempts at targets that name a limit

The shares of a limit are even, the demand of entries is not: in virtual time, one of ten entries with all the demand used 2.75 of 27 attempts a second, and its callers were refused although the targets would have taken more.

An entry without an attempt left asks up to two entries that attempts were dealt to. The lender counts the attempt as its own, so that each attempt has one owner at a time and the sum stays within the limit; it lends none while requests of its own wait. An entry that refuses says for how long, and is not asked again meanwhile. The attempt is made at once; a lost answer wastes it.

TestEntryBorrowsAttempts, one entry of three with all requests: 7 or 8 of 8 served.

--- a/internal/coordination/balance/entryshare.go
+++ b/internal/coordination/balance/entryshare.go
@@ -17,6 +17,10 @@
 	position int
 	// count is the number of entries.
 	count int
+	// self is this entry's name, and names has all names in their order; it is empty until
+	// they are known.
+	self  string
+	names []string
 }
 
 // SetEntries sets the entries that send to the same targets, and the name of this
@@ -30,10 +34,11 @@
 func newEntrySet(self string, names []string, count int) entrySet {
 	count = max(count, 1)
 	if len(names) == 0 {
-		return entrySet{position: int(xxhash.Sum64String(self) % uint64(count)), count: count}
+		return entrySet{position: int(xxhash.Sum64String(self) % uint64(count)), count: count, self: self}
 	}
-	position, _ := slices.BinarySearch(slices.Sorted(slices.Values(names)), self)
-	return entrySet{position: position % count, count: count}
+	sorted := slices.Sorted(slices.Values(names))
+	position, _ := slices.BinarySearch(sorted, self)
+	return entrySet{position: position % count, count: count, self: self, names: sorted}
 }
 
 // place is a target's place among the targets of its service, which are ordered by ID.
@@ -84,31 +89,55 @@
 	wait time.Duration
 }
 
-// share returns the part of a target's limit that this entry has. The attempts are dealt
-// to consecutive entries. The first one differs by target, so that every entry may send
-// to some target of the service if there are attempts for all. If not, the first one also
-// moves on with each turn.
-func (e entrySet) share(p place, limit rateLimit, now time.Time) entryShare {
+// deal is how the attempts of a target are dealt to entries at a time.
+type deal struct {
+	// first is the position of the entry that gets the first attempt.
+	first int
+	limit rateLimit
+	// start is when the turn began; zero where the deal does not change.
+	start time.Time
+}
+
+// deal returns how a target's limit is dealt. The first entry differs by target, so that
+// every entry may send to some target of the service if there are attempts for all. If not,
+// the first one also moves on with each turn.
+func (e entrySet) deal(p place, limit rateLimit, now time.Time) deal {
 	first := p.index * e.count / max(p.count, 1)
 	if limit.attempts*p.count >= e.count {
-		out := entryShare{attempts: e.dealt(first, limit.attempts), after: now.Add(-limit.window)}
+		return deal{first: first, limit: limit}
+	}
+	turn := limit.turns()
+	number := now.UnixNano() / int64(turn.window)
+	first = int((int64(first) + number*int64(turn.attempts)) % int64(e.count))
+	return deal{first: first, limit: turn, start: time.Unix(0, number*int64(turn.window))}
+}
+
+// share returns the part of a target's limit that this entry has.
+func (e entrySet) share(p place, limit rateLimit, now time.Time) entryShare {
+	d := e.deal(p, limit, now)
+	out := entryShare{attempts: e.dealt(d.first, d.limit.attempts)}
+	if d.start.IsZero() {
+		out.after = now.Add(-limit.window)
 		if out.attempts == 0 {
 			out.wait = Never
 		}
 		return out
 	}
-	turn := limit.turns()
-	number := now.UnixNano() / int64(turn.window)
-	first = int((int64(first) + number*int64(turn.attempts)) % int64(e.count))
-	start := time.Unix(0, number*int64(turn.window))
-	out := entryShare{attempts: e.dealt(first, turn.attempts), after: start.Add(-1), until: start.Add(turn.window)}
+	out.after, out.until = d.start.Add(-1), d.start.Add(d.limit.window)
 	if out.attempts == 0 {
-		turnsAhead := e.distance(first) / turn.attempts
-		out.wait = out.until.Sub(now) + time.Duration(turnsAhead-1)*turn.window
+		turnsAhead := e.distance(d.first) / d.limit.attempts
+		out.wait = out.until.Sub(now) + time.Duration(turnsAhead-1)*d.limit.window
 	}
 	return out
 }
 
+// randomHolder returns the position of one of the entries that a target's attempts are
+// dealt to. The function returns a random number below its argument.
+func (e entrySet) randomHolder(p place, limit rateLimit, random func(int) int, now time.Time) int {
+	d := e.deal(p, limit, now)
+	return (d.first + random(min(d.limit.attempts, e.count))) % e.count
+}
+
 // distance returns how many places this entry is behind another one, in a circle.
 func (e entrySet) distance(first int) int { return ((e.position-first)%e.count + e.count) % e.count }
 
--- a/internal/coordination/balance/fleet.go
+++ b/internal/coordination/balance/fleet.go
@@ -100,6 +100,8 @@
 	listGeneration int
 	// notices is keyed by target ID.
 	notices map[string]*notice
+	// loanRefusals has the times until which other entries lend no attempt.
+	loanRefusals map[Loan]time.Time
 	// limitVersion increases with each change of targets' limits of which other entries
 	// are told.
 	limitVersion uint64
@@ -115,6 +117,7 @@
 		dataCentresOut: map[string]bool{},
 		grantIntervals: map[string]*grantInterval{},
 		notices:        map[string]*notice{},
+		loanRefusals:   map[Loan]time.Time{},
 		entries:        newEntrySet("", nil, 1),
 		listGeneration: 1,
 	}
@@ -225,10 +228,7 @@
 	f.candidates, f.limited = f.candidates[:0], f.limited[:0]
 	verdict := NoTarget
 	for _, m := range f.services[r.Service] {
-		if !m.isUsable(f.dataCentresOut) || slices.Contains(r.Tried, m.target.ID) {
-			continue
-		}
-		if m.isSuspended(now) || m.group.isClosed(m.target.IsGroupBroken, now) {
+		if f.isExcluded(m, r, now) {
 			continue
 		}
 		verdict = Full
@@ -248,24 +248,38 @@
 	if best == nil {
 		return nil, verdict
 	}
-	best.inFlight++
-	f.grantIntervalOf(r.Service, now).recordGrant(now)
 	best.attempts.add(now)
+	return f.grant(best, r, now), Granted
+}
+
+// isExcluded reports whether a target is not to get the request, whatever its capacity.
+func (f *Fleet) isExcluded(m *member, r Request, now time.Time) bool {
+	return !m.isUsable(f.dataCentresOut) || slices.Contains(r.Tried, m.target.ID) ||
+		m.isSuspended(now) || m.group.isClosed(m.target.IsGroupBroken, now)
+}
+
+// grant returns a lease on a target for a request.
+func (f *Fleet) grant(m *member, r Request, now time.Time) *Lease {
+	m.inFlight++
+	f.grantIntervalOf(r.Service, now).recordGrant(now)
 	if r.Stream {
-		best.group.startStream(r.GapGoal, now)
+		m.group.startStream(r.GapGoal, now)
 	}
-	return &Lease{fleet: f, member: best, target: best.target, stream: r.Stream, grantedAt: now}, Granted
+	return &Lease{fleet: f, member: m, target: m.target, stream: r.Stream, grantedAt: now}
 }
 
-// hasCapacity reports whether the target stays within its attempt rate, the limit that
-// it has named, its slots and, for a new stream, the gap goal if it gets the request.
+// hasCapacity reports whether the target has room for the request and stays within the
+// limit that it has named.
 func (f *Fleet) hasCapacity(m *member, r Request, now time.Time) bool {
+	return f.hasRoom(m, r, now) && f.waitForLimit(m, now) == 0
+}
+
+// hasRoom reports whether the target stays within its attempt rate, its slots and, for a
+// new stream, the gap goal if it gets the request.
+func (f *Fleet) hasRoom(m *member, r Request, now time.Time) bool {
 	if r.MaxPerSecond > 0 && f.waitFor(m, newRateLimit(r.MaxPerSecond, time.Second), now) > 0 {
 		return false
 	}
-	if f.waitForLimit(m, now) > 0 {
-		return false
-	}
 	if m.target.Slots > 0 && m.load(now) >= m.target.Slots {
 		return false
 	}
--- a/internal/coordination/balance/limit_test.go
+++ b/internal/coordination/balance/limit_test.go
@@ -244,3 +244,106 @@
 		boot += time.Minute
 	}
 }
+
+// TestLentAttempts has one entry with all the demand borrow what was dealt to the others.
+func TestLentAttempts(t *testing.T) {
+	const (
+		step  = 50 * time.Millisecond
+		total = 40 * time.Second
+		// window is the time over which the limit is averaged.
+		window = 4 * time.Second
+		// loanRequests is how many entries are asked for each request.
+		loanRequests = 2
+		// minUse is the part of the limits that must be used.
+		minUse = 0.75
+	)
+	tests := []struct {
+		entries, targetCount int
+		limit                float64
+	}{{2, 1, 1}, {10, 3, 2}, {10, 16, 1.7}, {35, 5, 2}, {490, 40, 1.7}}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("%d entries, %d targets, %v a second", tt.entries, tt.targetCount, tt.limit), func(t *testing.T) {
+			c := qt.New(t)
+			start := time.Unix(100, 0)
+			fleets := limitedFleets(tt.entries, tt.targetCount, start)
+			byName := map[string]*Fleet{}
+			for _, f := range fleets {
+				byName[f.entries.self] = f
+				var reports []LimitReport
+				for id := range f.members {
+					reports = append(reports, LimitReport{Target: id, PerSecond: tt.limit})
+				}
+				f.MergeLimits(reports, time.Second)
+			}
+			borrower, request := fleets[0], Request{Service: "drafts"}
+			attempts := map[string][]time.Time{}
+			acquire := func(now time.Time) *Lease {
+				if l, _ := borrower.Pick(request, now); l != nil {
+					return l
+				}
+				for _, loan := range borrower.Loans(request, loanRequests, now) {
+					lent, wait := byName[loan.Entry].Lend(loan.Target, loan.StartedAtMs, now)
+					if lent {
+						return borrower.Take(loan, request, now)
+					}
+					borrower.RecordLoanRefused(loan, wait, now)
+				}
+				return nil
+			}
+			for now := start; now.Before(start.Add(total)); now = now.Add(step) {
+				for range int(tt.limit*float64(tt.targetCount)*step.Seconds()) + 1 {
+					if l := acquire(now); l != nil {
+						attempts[l.Target().ID] = append(attempts[l.Target().ID], now)
+						l.Done(Answered, 0, now)
+					}
+				}
+			}
+			used := 0
+			for id, times := range attempts {
+				used += len(times)
+				first := 0
+				for n, at := range times {
+					for at.Sub(times[first]) >= window {
+						first++
+					}
+					c.Assert(float64(n-first) < tt.limit*window.Seconds()+1, qt.IsTrue, qt.Commentf("%d attempts at %s within %s", n-first+1, id, window))
+				}
+			}
+			mean := float64(used) / total.Seconds() / float64(tt.targetCount)
+			c.Check(mean >= minUse*tt.limit, qt.IsTrue, qt.Commentf("%.2f of %v a second used", mean, tt.limit))
+		})
+	}
+}
+
+// TestLendingEntryKeepsWhatItNeeds asks for attempts that are not to be lent.
+func TestLendingEntryKeepsWhatItNeeds(t *testing.T) {
+	now := time.Unix(100, 0)
+	tests := []struct {
+		name    string
+		prepare func(f *Fleet)
+		target  string
+		run     int64
+		want    bool
+	}{
+		{"unused", func(*Fleet) {}, "t-000", 0, true},
+		{"used", func(f *Fleet) {
+			for l, _ := f.Pick(Request{Service: "drafts"}, now); l != nil; l, _ = f.Pick(Request{Service: "drafts"}, now) {
+				l.Done(Answered, 0, now)
+			}
+		}, "t-000", 0, false},
+		{"own requests wait", func(f *Fleet) { f.Enqueue(Request{Service: "drafts"}, 1, time.Second, now) }, "t-000", 0, false},
+		{"no limit any more", func(f *Fleet) { f.MergeLimits([]LimitReport{{Target: "t-000"}}, time.Minute) }, "t-000", 0, false},
+		{"another run", func(*Fleet) {}, "t-000", 7, false},
+		{"an unknown target", func(*Fleet) {}, "t-999", 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := limitedFleets(2, 1, now)[0]
+			f.MergeLimits([]LimitReport{{Target: "t-000", PerSecond: 1}}, time.Second)
+			tt.prepare(f)
+			lent, _ := f.Lend(tt.target, tt.run, now)
+			c.Check(lent, qt.Equals, tt.want)
+		})
+	}
+}
--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -79,6 +79,7 @@
 	TargetLimitChanged       = declare(3012, hclog.Info, "target named another limit on its requests, or none any more")
 	TargetLimitInvalid       = declare(3013, hclog.Warn, "target named a limit that is no number of requests: the last one stays in force")
 	SilentConnectionsClosed  = declare(3014, hclog.Info, "connection to a target went silent: idle ones that carried nothing since are closed")
+	LoanFailed               = declare(3015, hclog.Info, "another entry could not be asked for an attempt at a target that names a limit")
 	EngineSlow               = declare(3007, hclog.Info, "engine reports a slowdown")
 	SwitchStarted            = declare(3205, hclog.Info, "change of the expert map started")
 	SwitchEnded              = declare(3206, hclog.Info, "change of the expert map ended")
--- a/internal/transport/gateway/entries.go
+++ b/internal/transport/gateway/entries.go
@@ -87,7 +87,7 @@
 	g.setEntries(lo.Keys(list), len(list))
 	g.quarantine.setEntries(lo.Keys(list), len(list))
 	peers := g.entryAddresses(list)
-	g.readRoutes.SetPeers(peers)
+	g.readRoutes.SetPeers(lo.Values(peers))
 	g.setPeers(peers)
 	if reads == 1 {
 		return secondReadDelay
@@ -102,21 +102,21 @@
 }
 
 // entryAddresses returns the addresses at which the other entries of a list accept
-// calls; the port is the same on all instances.
-func (g *Gateway) entryAddresses(list map[string]platform.Entry) []string {
-	out := []string{}
+// calls, by their names; the port is the same on all instances.
+func (g *Gateway) entryAddresses(list map[string]platform.Entry) map[string]string {
+	out := map[string]string{}
 	for name, e := range list {
 		if name != g.settings.Name {
-			out = append(out, net.JoinHostPort(e.Address, strconv.Itoa(g.settings.FirstPort)))
+			out[name] = net.JoinHostPort(e.Address, strconv.Itoa(g.settings.FirstPort))
 		}
 	}
 	return out
 }
 
-// setPeers sets the addresses of the other entries, with which lists are exchanged.
-func (g *Gateway) setPeers(addresses []string) {
-	g.peers.set(addresses)
-	known := lo.SliceToMap(addresses, func(address string) (string, bool) { return address, true })
+// setPeers sets the addresses of the other entries by their names.
+func (g *Gateway) setPeers(byName map[string]string) {
+	g.peers.set(byName)
+	known := lo.MapEntries(byName, func(_, address string) (string, bool) { return address, true })
 	g.quarantine.exchange.forgetOthers(known)
 	g.targetLimits.exchange.forgetOthers(known)
 }
@@ -126,6 +126,7 @@
 	mux := http.NewServeMux()
 	g.quarantine.exchange.register(mux)
 	g.targetLimits.exchange.register(mux)
+	mux.HandleFunc(pathLoan, g.targetLimits.serveLoan)
 	mux.HandleFunc("/", g.relayRead)
 	return mux
 }
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -95,8 +95,9 @@
 	maxQueuedRepeated = 24
 )
 
-// acquireLease picks a target for the request. If no target has a free slot, it
-// queues the request for as long as the latency goal and the deadline allow. The
+// acquireLease picks a target for the request. If the limits of targets leave this entry no
+// attempt, it asks others for theirs. If no target has a free slot, it queues the request
+// for as long as the latency goal and the deadline allow. The
 // lease is nil if no target was found; the verdict then gives the reason.
 func (x *exchange) acquireLease(ctx context.Context, now time.Time) (*balance.Lease, balance.Verdict) {
 	fleet := x.gateway.fleet
@@ -105,6 +106,12 @@
 	if lease != nil || verdict == balance.NoTarget && !missedGoal {
 		return lease, verdict
 	}
+	if verdict == balance.Full {
+		if lease := x.gateway.targetLimits.borrow(ctx, x.balanceRequest()); lease != nil {
+			return lease, balance.Granted
+		}
+		now = time.Now()
+	}
 	wait := balance.MaxQueueTime(x.latencyGoal.Sub(now), x.deadline.Sub(now), missedGoal)
 	if wait <= 0 || fleet.WaitForTarget(x.service, now) > wait {
 		return nil, verdict
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -171,7 +171,7 @@
 	g.peers = newEntryPeers(net.JoinHostPort(settings.Address, strconv.Itoa(settings.FirstPort)), log)
 	g.lastCall, g.endLastCall = context.WithCancel(context.Background())
 	g.quarantine = newQuarantineList(settings.Name, g.peers, g.store, log)
-	g.targetLimits = newLimitList(g.fleet, g.peers, log)
+	g.targetLimits = newLimitList(g.fleet, g.peers, g.metrics.loans, log)
 	g.fleet.SetChoice(options.Choice)
 	g.bounds.Store(&settings.Bounds)
 	g.setEntries(nil, initialEntryCount)
--- a/internal/transport/gateway/limit_test.go
+++ b/internal/transport/gateway/limit_test.go
@@ -115,6 +115,34 @@
 	}
 }
 
+// TestEntryBorrowsAttempts sends all requests to one of three entries while a target names a
+// limit. The entry must use what the limit leaves to the others, and no more.
+func TestEntryBorrowsAttempts(t *testing.T) {
+	const most = 8 // of a limit of two a second, in 4 s
+	env := newTestEnv(t)
+	target := newLimitingTarget("t-0")
+	env.addTarget(&target.Target, "t-0", "bells")
+	gateways := []*Gateway{env.gateway, env.addEntry("entry-2", "127.0.0.2", env.storeAddress), env.addEntry("entry-3", "127.0.0.3", env.storeAddress)}
+	for _, g := range gateways {
+		env.eventually("entries know each other and the target", func() bool {
+			return g.entryCount.Load() == 3 && len(g.fleet.Targets(time.Now())) == 1
+		})
+	}
+	target.limit.Store("2")
+	env.eventually("the target serves", func() bool { return env.do(env.request(order, "a-0", "")).status == http.StatusOK })
+	for _, g := range gateways {
+		env.eventually("all entries know the limit", func() bool { return g.fleet.Targets(time.Now())[0].LimitPerSecond == 2 })
+	}
+	served := 1
+	for n := range 3 * most {
+		if env.do(env.request(order, fmt.Sprint("b-", n), "")).status == http.StatusOK {
+			served++
+		}
+	}
+	env.c.Check(served >= most-1 && served <= most, qt.IsTrue, qt.Commentf("%d served", served))
+	env.c.Check(env.gateway.metrics.loans.Get() > 0, qt.IsTrue)
+}
+
 // TestNoticeOfAnotherTarget has the target that got an address after another one refuse
 // requests for that one, name a limit and say that it is leaving.
 func TestNoticeOfAnotherTarget(t *testing.T) {
--- a/internal/transport/gateway/limits.go
+++ b/internal/transport/gateway/limits.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 
 	"bluebellcrank/internal/coordination/balance"
@@ -18,10 +19,12 @@
 	fleet    *balance.Fleet
 	log      hclog.Logger
 	exchange *listExchange[balance.LimitReport]
+	// loans counts the attempts that other entries have lent.
+	loans *metrics.Counter
 }
 
-func newLimitList(fleet *balance.Fleet, peers *entryPeers, log hclog.Logger) *limitList {
-	l := &limitList{fleet: fleet, log: log}
+func newLimitList(fleet *balance.Fleet, peers *entryPeers, loans *metrics.Counter, log hclog.Logger) *limitList {
+	l := &limitList{fleet: fleet, log: log, loans: loans}
 	l.exchange = newListExchange(peers, pathLimits, listSource[balance.LimitReport]{read: fleet.LimitReports, merge: l.merge})
 	return l
 }
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -15,6 +15,7 @@
 	relayedReads      *metrics.Counter
 	targetsEnded      *metrics.Counter
 	quarantined       *metrics.Counter
+	loans             *metrics.Counter
 	queueTime         *metrics.Histogram
 	firstByteTime     *metrics.Histogram
 	eventGap          *metrics.Histogram
@@ -31,6 +32,7 @@
 		relayedReads:      set.NewCounter("bluebellcrank_store_reads_passed_on_total"),
 		targetsEnded:      set.NewCounter("bluebellcrank_attempts_whose_target_ended_total"),
 		quarantined:       set.NewCounter("bluebellcrank_requests_quarantined_total"),
+		loans:             set.NewCounter("bluebellcrank_attempts_lent_by_other_entries_total"),
 		queueTime:         set.NewHistogram("bluebellcrank_queue_seconds"),
 		firstByteTime:     set.NewHistogram("bluebellcrank_first_byte_seconds"),
 		eventGap:          set.NewHistogram("bluebellcrank_event_pause_seconds"),
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/samber/lo"
 )
 
 const (
@@ -29,7 +30,9 @@
 	client *http.Client
 	log    hclog.Logger
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// byName has the addresses of the other entries by their names.
+	byName    map[string]string
 	addresses []string
 }
 
@@ -37,11 +40,22 @@
 	return &entryPeers{self: self, client: &http.Client{Timeout: maxPeerRoundTrip}, log: log}
 }
 
-// set sets the addresses of the other entries.
-func (p *entryPeers) set(addresses []string) {
+// set sets the addresses of the other entries by their names.
+func (p *entryPeers) set(byName map[string]string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.addresses = addresses
+	p.byName, p.addresses = byName, lo.Values(byName)
+}
+
+// addressOf returns the address of an entry, or an error if it is not known.
+func (p *entryPeers) addressOf(name string) (string, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	address, isKnown := p.byName[name]
+	if !isKnown {
+		return "", fmt.Errorf("the address of entry %q is not known", name)
+	}
+	return address, nil
 }
 
 // random returns up to n other entries.
