Very high rates and limits of targets are bounded before they are shared

A rate above what an int holds becomes a negative number of attempts on some machines (amd64), and a turn of length 0 for many entries, by which the time was divided: a cold rate or a limit like 1e30 in the configuration or an answer would have ended entries. By reading: TestVeryHighRates passes before and after on arm64, where the conversion saturates. Rates are bounded by a million a second.

--- a/internal/coordination/balance/entryshare.go
+++ b/internal/coordination/balance/entryshare.go
@@ -51,9 +51,13 @@
 	window   time.Duration
 }
 
+// maxPerSecond replaces higher rates, in attempts per second; no target gets as many.
+const maxPerSecond = 1e6
+
 // newRateLimit returns the limit of a number of attempts per second that is averaged over
 // a window, or over the time in which one attempt is due if that is longer.
 func newRateLimit(perSecond float64, window time.Duration) rateLimit {
+	perSecond = min(perSecond, maxPerSecond)
 	if attempts := int(perSecond * window.Seconds()); attempts > 0 {
 		return rateLimit{attempts: attempts, window: window}
 	}
--- a/internal/coordination/balance/entryshare_test.go
+++ b/internal/coordination/balance/entryshare_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -139,3 +140,22 @@
 		})
 	}
 }
+
+// TestVeryHighRates has targets with rates that no target gets.
+func TestVeryHighRates(t *testing.T) {
+	for _, rate := range []float64{1e6, 1e12, 1e30, math.MaxFloat64} {
+		for _, entries := range []int{1, 490} {
+			t.Run(fmt.Sprintf("%v, %d entries", rate, entries), func(t *testing.T) {
+				c := qt.New(t)
+				now := time.Unix(100, 0)
+				f := limitedFleets(entries, 1, now)[entries-1]
+				f.MergeLimits([]LimitReport{{Target: "t-000", PerSecond: rate}}, time.Second)
+				for range 100 {
+					l, _ := f.Pick(Request{Service: "drafts", MaxPerSecond: rate}, now)
+					c.Assert(l, qt.IsNotNil)
+					l.Done(Answered, 0, now)
+				}
+			})
+		}
+	}
+}
--- a/internal/coordination/balance/limit.go
+++ b/internal/coordination/balance/limit.go
@@ -160,12 +160,9 @@
 	if n == nil || n.limit.perSecond <= 0 {
 		return rateLimit{}, false
 	}
-	perSecond := max(n.limit.perSecond, minLimitPerSecond)
+	perSecond := min(max(n.limit.perSecond, minLimitPerSecond), maxPerSecond)
 	// The window is lengthened to a whole number of attempts.
 	attempts := math.Ceil(perSecond * limitWindow.Seconds())
-	if attempts > math.MaxInt32 {
-		return rateLimit{}, false
-	}
 	return rateLimit{attempts: int(attempts), window: time.Duration(attempts / perSecond * float64(time.Second))}, true
 }
 
