--- a/cmd/standin/crash_test.go
+++ b/cmd/standin/crash_test.go
@@ -89,27 +89,47 @@
 
 // addTarget starts a target of a service and lists it.
 func (c *crashRun) addTarget(service string) *crashTarget {
-	t := &crashTarget{run: c, service: service, address: freeAddress()}
+	// The listener stays open, so that no other test gets the port.
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.c.Assert(err, qt.IsNil)
+	t := &crashTarget{run: c, service: service, address: l.Addr().String()}
 	c.mu.Lock()
 	t.target.ID = fmt.Sprintf("%s-crash-%d", service, len(c.targets))
 	c.targets = append(c.targets, t)
 	c.mu.Unlock()
 	t.target.Handler = t.serve
-	t.start()
+	t.serveAt(l)
 	c.t.Cleanup(t.stop)
 	c.store.Put("servers", t.target.ID, map[string]any{"service": service, "address": t.address, "zone": "east", "slots": 16, "state": "serving"})
 	return t
 }
 
-// start listens at the target's address.
-func (t *crashTarget) start() {
+// restart listens at the target's address again. A connection of another test may have
+// the port for a moment.
+func (t *crashTarget) restart() {
+	var l net.Listener
+	var err error
+	for end := time.Now().Add(soakRecoveryTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if l, err = net.Listen("tcp", t.address); err == nil {
+			t.serveAt(l)
+			return
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.isGone {
+		t.run.t.Errorf("%s does not start again: %v", t.target.ID, err)
+	}
+}
+
+// serveAt serves a listener, unless the target must not start again.
+func (t *crashTarget) serveAt(l net.Listener) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.isGone {
+		_ = l.Close()
 		return
 	}
-	l, err := net.Listen("tcp", t.address)
-	t.run.c.Assert(err, qt.IsNil)
 	server := &http.Server{Handler: &t.target}
 	t.server, t.hasEnded = server, false
 	// Serve ends with the server.
@@ -132,7 +152,7 @@
 		return false
 	}
 	t.hasEnded = true
-	time.AfterFunc(crashRestartDelay, t.start)
+	time.AfterFunc(crashRestartDelay, t.restart)
 	_ = t.server.Close()
 	return true
 }
