review: after all entries are killed, a shared part is quarantined with a deadly one

Cause: which parts targets have answered is known to each process only. After a kill of all entries each crash blames the shared part too, and the wait until a sound request may try it grows with the crashes that both have in common.

--- a/review/cases/doc_test.go
+++ b/review/cases/doc_test.go
@@ -18,6 +18,7 @@
 	cases := map[string]func(dir string) (int, error){
 		"emptystream": runEmptyStream,
 		"latego":      runLateGo,
+		"sharedpart":  runSharedPart,
 		"unsigned":    runUnsigned,
 	}
 	if os.Args[1] == "model-server" {
