--- a/review/cases/emptystream_test.go
+++ b/review/cases/emptystream_test.go
@@ -79,6 +79,9 @@
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
+	k.childrenMu.Lock()
+	k.children = append(k.children, cmd.Process)
+	k.childrenMu.Unlock()
 	lines := bufio.NewScanner(out)
 	if !lines.Scan() {
 		return nil, fmt.Errorf("%s does not start", id)
--- a/review/cases/kit_test.go
+++ b/review/cases/kit_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -44,6 +45,9 @@
 	began     time.Time
 	processes []*Process
 	listeners []net.Listener
+	// children are other processes that the case started, which Close ends as well.
+	childrenMu sync.Mutex
+	children   []*os.Process
 	// Trouble tells whether the case injects its disruption.
 	Trouble bool
 }
@@ -74,9 +78,39 @@
 	}
 	k.StoreAddr = l.Addr().String()
 	go func() { _ = http.Serve(l, k.Store) }()
+	go k.endEarly()
 	return k, nil
 }
 
+// maxRunTime is the longest time of a case.
+const maxRunTime = 115 * time.Second
+
+// endEarly ends the case and all its processes at a signal, or once it takes too long.
+func (k *Kit) endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case <-signals:
+	case <-time.After(maxRunTime):
+	}
+	k.endProcesses()
+	_ = os.RemoveAll(k.dir)
+	os.Exit(NotRun)
+}
+
+// endProcesses kills all processes that the case started.
+func (k *Kit) endProcesses() {
+	for _, p := range k.processes {
+		p.Signal(syscall.SIGKILL)
+		p.Signal(syscall.SIGCONT)
+	}
+	k.childrenMu.Lock()
+	defer k.childrenMu.Unlock()
+	for _, c := range k.children {
+		_ = c.Kill() // an error means that it has ended
+	}
+}
+
 // choosePorts finds ports that are free at the first addresses of the block.
 func (k *Kit) choosePorts() error {
 	if l, err := net.Listen("tcp", k.block+"11:"+operatorPort); err != nil {
@@ -217,9 +251,8 @@
 // Close ends all processes that the kit started, and appends the log of each to the
 // record if withLogs is set.
 func (k *Kit) Close(withLogs bool) {
+	k.endProcesses()
 	for _, p := range k.processes {
-		p.Signal(syscall.SIGKILL)
-		p.Signal(syscall.SIGCONT)
 		<-p.done
 	}
 	for _, l := range k.listeners {
