Tests: a port that was found free stays free while processes start

A test's set-up sometimes could not listen at a port that freePort had just found free. A process that was being forked at that moment had a copy of the probing socket until it ran its program, so that closing the socket did not free the port. Probing now excludes forks.

--- a/cmd/standin/fleet.go
+++ b/cmd/standin/fleet.go
@@ -86,15 +86,27 @@
 func freeAddress() string {
 	for range portCount {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
-		l, err := net.Listen("tcp", address)
-		if err == nil {
-			_ = l.Close()
+		if isFree(address) {
 			return address
 		}
 	}
 	panic("no free port")
 }
 
+// isFree reports whether a process may listen on an address.
+func isFree(address string) bool {
+	// A process that is forked meanwhile would keep the socket open until it runs its
+	// program.
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = l.Close()
+	return true
+}
+
 // waitFor polls a condition until it is true, at most for waitTimeout.
 func waitFor(condition func() bool, description string) error {
 	deadline := time.Now().Add(waitTimeout)
--- a/cmd/standin/soak_test.go
+++ b/cmd/standin/soak_test.go
@@ -194,21 +194,12 @@
 func freePort(ips []string) string {
 	for {
 		_, port, _ := strings.Cut(freeAddress(), ":")
-		if !slices.ContainsFunc(ips, func(ip string) bool { return isInUse(net.JoinHostPort(ip, port)) }) {
+		if !slices.ContainsFunc(ips, func(ip string) bool { return !isFree(net.JoinHostPort(ip, port)) }) {
 			return port
 		}
 	}
 }
 
-func isInUse(address string) bool {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return true
-	}
-	_ = l.Close()
-	return false
-}
-
 // writeSettings writes an entry's settings file.
 func (s *soakRun) writeSettings(e *soakEntry, revocation time.Duration) {
 	content, err := json.Marshal(map[string]any{
