Log what ended an interrupted answer and what was missing to go on

The lines of the users' record do not say which deadline ended a read: abortStream joined the error of the request's context only, and the cause of the segment's context got lost. 2001, 2102 and 2101 now have the cause (deadline, grace period, one of the checks for stalled targets), what another attempt lacked (retry budget, target, time, attempts), the time since the last event, and the time since SIGTERM. No decision changes.

--- a/internal/transport/gateway/env_test.go
+++ b/internal/transport/gateway/env_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -17,6 +19,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
+	"bluebellcrank/internal/state/event"
 	"bluebellcrank/internal/state/instance"
 	"bluebellcrank/platform/standin"
 )
@@ -40,6 +43,8 @@
 	version                  int
 	// accepted has the client addresses of the connections that entries accepted.
 	accepted sync.Map
+	// log has the log lines of all entries.
+	log lockedBuffer
 	// settings is the content of the settings file; nil stands for an invalid file.
 	settings atomic.Pointer[instance.Settings]
 }
@@ -59,6 +64,34 @@
 	return conn, err
 }
 
+// lockedBuffer is a buffer for several goroutines.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+// logged returns the fields of the log lines of an event.
+func (env *testEnv) logged(e event.Event) []map[string]any {
+	env.log.mu.Lock()
+	defer env.log.mu.Unlock()
+	var out []map[string]any
+	for line := range bytes.Lines(env.log.buffer.Bytes()) {
+		fields := map[string]any{}
+		env.c.Assert(json.Unmarshal(line, &fields), qt.IsNil)
+		if fields["event"] == float64(e.Number()) {
+			out = append(out, fields)
+		}
+	}
+	return out
+}
+
 // route is a route of the test configuration.
 type route struct {
 	name, kind, service string
@@ -138,7 +171,7 @@
 		FirstPort: env.entriesPort, LastPort: env.entriesPort, StoreAddress: store,
 	}
 	env.settings.Store(&s)
-	g := New(s, hclog.NewNullLogger(), l, Options{
+	g := New(s, hclog.New(&hclog.LoggerOptions{JSONFormat: true, Output: &env.log}), l, Options{
 		ReadSettings: func() (instance.Settings, error) {
 			if s := env.settings.Load(); s != nil {
 				return *s, nil
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -64,6 +64,10 @@
 	// longestGap is the longest time between consecutive events of one segment,
 	// the part of a stream that one target serves.
 	longestGap time.Duration
+	// endCause is why this entry ended the current attempt; nil if it did not.
+	endCause error
+	// noRetry says what was missing for another attempt, for the log.
+	noRetry string
 	// targetID is the ID of the target tried last.
 	targetID string
 	// lastEventID is the ID of the last event sent to the client.
@@ -143,7 +147,7 @@
 // the target reports.
 func (x *exchange) send(ctx context.Context, lease *balance.Lease) (*upstream.Response, platform.Answer, error) {
 	t := lease.Target()
-	x.targetID, x.attemptEvents, x.hasAttemptBegun = t.ID, 0, false
+	x.targetID, x.attemptEvents, x.hasAttemptBegun, x.endCause = t.ID, 0, false, nil
 	x.tried = append(x.tried, t.ID)
 	now := time.Now()
 	x.attemptActiveAt = now
@@ -271,7 +275,7 @@
 	fields := []any{"id", x.client.AttemptID, "route", route, "service", x.service,
 		"account", x.account, "target", x.targetID, "status", status, "reason", reason,
 		"sends", x.attempts, "uncertain", x.mayHaveRun, "deadline-ms", x.client.Timeout.Milliseconds(), "first-ms", firstByteDelay.Milliseconds(),
-		"longest-pause-ms", x.longestGap.Milliseconds(),
+		"longest-pause-ms", x.longestGap.Milliseconds(), "no-retry", x.noRetry, "stop-ms", g.sinceStop(time.Now()).Milliseconds(),
 		"total-ms", time.Since(x.began).Milliseconds(), "config", version,
 		"proof-age-ms", g.follower.ConfirmationAge(process.BootTime()).Milliseconds()}
 	if reason == string(refusal.Quarantined) {
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -315,6 +315,14 @@
 	return min(drainNoticePeriod, g.bounds.Load().GracePeriod/3)
 }
 
+// sinceStop returns the time since this entry began to stop, or 0.
+func (g *Gateway) sinceStop(now time.Time) time.Duration {
+	if !g.draining.Load() {
+		return 0
+	}
+	return now.Sub(g.drainStart)
+}
+
 // isTooLate reports whether a request that may last for some time was read so late that
 // an entry that stops may end before it. Other entries serve it.
 func (g *Gateway) isTooLate(duration time.Duration, now time.Time) bool {
--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -124,21 +124,26 @@
 // attempt from the retry budget. A request that has not reached any target uses
 // none of the budget.
 func (x *exchange) reserveRetry(ctx context.Context) bool {
-	if ctx.Err() != nil || x.attempts >= x.route.MaxTargets {
-		return false
-	}
-	if x.mayHaveRun && !x.route.IsRepeatable() {
-		return false
-	}
-	if !x.reachedTarget {
-		return len(x.tried) < maxUnreachableTargets
-	}
-	if !x.gateway.spendRetry(x.service, time.Now()) {
+	switch {
+	case ctx.Err() != nil:
+		x.noRetry = "time"
+	case x.attempts >= x.route.MaxTargets:
+		x.noRetry = "attempts"
+	case x.mayHaveRun && !x.route.IsRepeatable():
+		x.noRetry = "leave to repeat"
+	case !x.reachedTarget:
+		if len(x.tried) < maxUnreachableTargets {
+			return true
+		}
+		x.noRetry = "reachable target"
+	case !x.gateway.spendRetry(x.service, time.Now()):
+		x.noRetry = "retry budget"
 		event.RetryBudgetExhausted.Log(x.gateway.log, "id", x.client.AttemptID, "service", x.service)
-		return false
+	default:
+		x.gateway.metrics.retries.Inc()
+		return true
 	}
-	x.gateway.metrics.retries.Inc()
-	return true
+	return false
 }
 
 // tryTarget sends the request once, and again after a 5xx answer if the route is
@@ -148,6 +153,7 @@
 	began := time.Now()
 	res, info, err := x.send(ctx, lease)
 	if err != nil {
+		x.endCause = context.Cause(ctx)
 		return nil, true, x.sendFailed(ctx, lease, err)
 	}
 	if info.NotRun {
@@ -159,6 +165,7 @@
 	a, err := x.readAnswer(res)
 	now := time.Now()
 	if err != nil || a.status < 300 && !info.Signed || info.Encoded {
+		x.endCause = context.Cause(ctx)
 		res.Close(now)
 		x.targetFailed(lease, errors.Join(err, errors.New("the answer is incomplete, unsigned or encoded")))
 		return nil, true, refusal.AnswerLost
@@ -219,7 +226,8 @@
 func (x *exchange) targetFailed(lease *balance.Lease, err error) {
 	ended := x.recordEnd(lease, err)
 	event.AttemptFailed.Log(x.gateway.log, "id", x.client.AttemptID, "target", lease.Target().ID,
-		"error", err.Error(), "may-have-run", x.mayHaveRun, "events", x.attemptEvents, "target-ended", ended,
+		"error", err.Error(), "cause", x.causeText(), "may-have-run", x.mayHaveRun, "events", x.attemptEvents,
+		"silent-ms", time.Since(x.attemptActiveAt).Milliseconds(), "target-ended", ended,
 		"prompt-parts", strings.Join(x.client.PromptParts, ","), "keys", keyNames(x.suspect))
 	if x.request.Context().Err() != nil || errors.Is(err, errStalled) || errors.Is(err, errSlow) {
 		lease.Done(balance.Abandoned, 0, time.Now())
@@ -312,10 +320,22 @@
 	x.finish(a.status, "")
 }
 
+// causeText returns why this entry ended the current attempt, or an empty text if it did
+// not.
+func (x *exchange) causeText() string {
+	if x.endCause == nil {
+		return ""
+	}
+	return x.endCause.Error()
+}
+
 // abort closes the client's connection, so that the client does not mistake an
 // incomplete answer for a complete one.
 func (x *exchange) abort(err error) {
-	event.AnswerInterrupted.Log(x.gateway.log, "id", x.client.AttemptID, "error", err.Error())
+	now := time.Now()
+	event.AnswerInterrupted.Log(x.gateway.log, "id", x.client.AttemptID, "target", x.targetID, "error", err.Error(),
+		"cause", x.causeText(), "no-retry", x.noRetry, "events", x.attemptEvents,
+		"silent-ms", now.Sub(x.attemptActiveAt).Milliseconds(), "stop-ms", x.gateway.sinceStop(now).Milliseconds())
 	x.finish(0, string(refusal.AnswerLost))
 	panic(http.ErrAbortHandler)
 }
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -23,6 +23,11 @@
 	maxRetryDelay = 1500 * time.Millisecond
 )
 
+var (
+	errDeadline  = errors.New("the request's deadline has passed")
+	errGraceOver = errors.New("the grace period of the stop is over")
+)
+
 // serve handles one request of a client.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
@@ -60,9 +65,11 @@
 	}
 	x.latencyGoal = now.Add(x.route.FirstByteGoal)
 	x.isRepeated = g.recordDeadline(x.route.Name, x.client.Timeout) || x.client.LastEventID != ""
-	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
-	defer cancel()
-	defer context.AfterFunc(g.lastCall, cancel)()
+	ctx, cancelDeadline := context.WithDeadlineCause(r.Context(), x.deadline, errDeadline)
+	defer cancelDeadline()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(g.lastCall, func() { cancel(errGraceOver) })()
 	g.recordFirstAttempt(x.service, now)
 	if x.route.Kind == routing.Stream {
 		x.serveStream(ctx)
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -26,6 +26,7 @@
 		now := time.Now()
 		lease, verdict := x.acquireLease(ctx, now)
 		if lease == nil {
+			x.noRetry = "target"
 			if x.hasResponseBegun {
 				x.abortStream(ctx, errors.New("no target to resume the stream"))
 			}
@@ -89,7 +90,8 @@
 	defer stallTimer.Stop()
 	res, info, err := x.send(segmentCtx, lease)
 	if err != nil {
-		err = errors.Join(err, context.Cause(segmentCtx))
+		x.endCause = context.Cause(segmentCtx)
+		err = errors.Join(err, x.endCause)
 		return false, x.sendFailed(ctx, lease, err), err
 	}
 	if info.NotRun {
@@ -118,7 +120,8 @@
 		return true, "", nil
 	}
 	res.Close(now)
-	x.targetFailed(lease, errors.Join(err, context.Cause(segmentCtx)))
+	x.endCause = context.Cause(segmentCtx)
+	x.targetFailed(lease, errors.Join(err, x.endCause))
 	if ctx.Err() != nil {
 		return false, x.deadlineReason(), err
 	}
