--- a/cmd/standin/soak_test.go
+++ b/cmd/standin/soak_test.go
@@ -51,11 +51,15 @@
 	soakSettleDelay = 1500 * time.Millisecond
 	// soakRevocationLimit is how long requests with a removed key may be served.
 	soakRevocationLimit = 5 * time.Second
-	soakBody            = "strike"
-	soakKey             = "key-of-guild"
-	soakRemovedKey      = "key-that-is-removed"
-	soakEventCount      = 20
-	soakGapGoal         = 120 * time.Millisecond
+	// soakTimeout is the timeout of the routes, and soakGracePeriod how long an entry may
+	// run after SIGTERM.
+	soakTimeout     = 4 * time.Second
+	soakGracePeriod = 4 * time.Second
+	soakBody        = "strike"
+	soakKey         = "key-of-guild"
+	soakRemovedKey  = "key-that-is-removed"
+	soakEventCount  = 20
+	soakGapGoal     = 120 * time.Millisecond
 )
 
 // soakAttempt is one request of a caller and its reply; status is 0 without one.
@@ -116,8 +120,13 @@
 	entries      []*soakEntry
 	targetRelays []*relay
 
+	// gracePeriod is how long an entry may run after SIGTERM.
+	gracePeriod time.Duration
+
 	mu      sync.Mutex
 	gapGoal time.Duration
+	// timeout is the timeout of the routes.
+	timeout time.Duration
 	version int
 	// addedRoutes are routes of idempotent requests, beside those that are always there.
 	addedRoutes  []string
@@ -146,12 +155,14 @@
 func newSoakRun(t *testing.T, seed uint64, revocation time.Duration) *soakRun {
 	s := &soakRun{
 		t: t, c: qt.New(t), dir: t.TempDir(),
-		seed:      seed,
-		random:    rand.New(rand.NewPCG(seed, 1)),
-		store:     standin.NewStore(),
-		gapGoal:   soakGapGoal,
-		runCounts: runCounter{counts: map[string]int{}},
-		keys:      []string{soakKey, soakRemovedKey},
+		seed:        seed,
+		random:      rand.New(rand.NewPCG(seed, 1)),
+		store:       standin.NewStore(),
+		gapGoal:     soakGapGoal,
+		timeout:     soakTimeout,
+		gracePeriod: soakGracePeriod,
+		runCounts:   runCounter{counts: map[string]int{}},
+		keys:        []string{soakKey, soakRemovedKey},
 	}
 	store := httptest.NewServer(http.HandlerFunc(s.serveStore))
 	t.Cleanup(func() {
@@ -206,7 +217,7 @@
 		"nodeName": e.name, "ip": e.ip, "zone": "east",
 		"listenAddresses":   map[string]string{"frontend": e.trafficAddress, "ready": e.readyAddress},
 		"internalPortRange": []json.Number{json.Number(e.internalPort), json.Number(e.internalPort)},
-		"bounds":            map[string]any{"revocationMs": revocation.Milliseconds(), "gracePeriodS": 4, "drainMs": 2000},
+		"bounds":            map[string]any{"revocationMs": revocation.Milliseconds(), "gracePeriodS": s.gracePeriod.Seconds(), "drainMs": 2000},
 		"platform":          map[string]string{"address": e.storeRelay.listenAddress},
 	})
 	s.c.Assert(err, qt.IsNil)
@@ -314,7 +325,7 @@
 	route := func(name, kind, service string, targets int) map[string]any {
 		return map[string]any{
 			"name": name, "host": "guild.example", "pathPrefix": "/" + name + "/", "routeKind": kind, "service": service,
-			"maxAttempts": targets, "timeoutMs": 4000, "targetLatencyMs": 500, "gapAimMs": s.gapGoal.Milliseconds(), "streamResumption": kind == "streaming",
+			"maxAttempts": targets, "timeoutMs": s.timeout.Milliseconds(), "targetLatencyMs": 500, "gapAimMs": s.gapGoal.Milliseconds(), "streamResumption": kind == "streaming",
 		}
 	}
 	routes := []any{route("order", "non_idempotent", "bells", 1), route("draft", "streaming", "drafts", 2)}
@@ -392,7 +403,7 @@
 	s.c.Assert(err, qt.IsNil)
 	request.Host = "guild.example"
 	request.Header.Set("Attempt-Id", a.id)
-	request.Header.Set("Deadline-Ms", "3000")
+	request.Header.Set("Deadline-Ms", strconv.FormatInt(s.timeout.Milliseconds()*3/4, 10))
 	request.Header.Set("Authorization", "Token "+a.apiKey)
 	return request
 }
