A silent stream ends only once another target has gone on with it

Cause: the check for stalled targets ended the current attempt, and only then asked the retry budget, the targets, the key and the quarantine for another one. Each may refuse; on busy machines many streams pause at once and the budget is empty after a few. A second target that refused lost the stream as well.

Fix: the next attempt, a standby, runs beside the silent one. Whichever brings an event first goes on with the stream, and the other one is reset. A standby that lacks a target or a retry, is refused, breaks off, or repeats events changes nothing.

--- a/internal/coordination/balance/fleet.go
+++ b/internal/coordination/balance/fleet.go
@@ -386,6 +386,13 @@
 	return now.Sub(l.member.lastEventAt) < stallTimeout
 }
 
+// SuspendTarget keeps new requests from a target that is silent, for a time.
+func (l *Lease) SuspendTarget(now time.Time) {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	l.member.suspendedUntil = later(l.member.suspendedUntil, now.Add(silenceTimeout))
+}
+
 // RecordLoad records the numbers of running and waiting requests that the target
 // reports. They include requests from other entries.
 func (l *Lease) RecordLoad(running, waiting int, now time.Time) {
--- a/internal/transport/gateway/events.go
+++ b/internal/transport/gateway/events.go
@@ -25,6 +25,9 @@
 	event  []byte
 	// isEmpty is set if the last event consists of comments and empty lines only.
 	isEmpty bool
+	// peekedID is the ID of the event that peek has read and next has not returned yet;
+	// nil if there is none.
+	peekedID *string
 }
 
 func newEventReader(r io.Reader) *eventReader {
@@ -36,6 +39,10 @@
 // call. The error is io.EOF at the end of the stream, and io.ErrUnexpectedEOF if
 // the stream ends within an event.
 func (e *eventReader) next() (event []byte, id string, err error) {
+	if e.peekedID != nil {
+		id, e.peekedID = *e.peekedID, nil
+		return e.event, id, nil
+	}
 	e.event, e.isEmpty = e.event[:0], true
 	isLineStart := true
 	for {
@@ -66,3 +73,17 @@
 		e.isEmpty = e.isEmpty && line[0] == ':'
 	}
 }
+
+// peek waits for the first event that is not empty, and skips empty ones before it.
+func (e *eventReader) peek() error {
+	for {
+		_, id, err := e.next()
+		if err != nil {
+			return err
+		}
+		if !e.isEmpty {
+			e.peekedID = &id
+			return nil
+		}
+	}
+}
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"bluebellcrank/internal/coordination/balance"
@@ -17,10 +18,9 @@
 	"bluebellcrank/platform"
 )
 
-// exchange is the state of one client request across all attempts at targets.
-type exchange struct {
+// requestInfo is what is known of a client's request before the first attempt.
+type requestInfo struct {
 	gateway *Gateway
-	writer  http.ResponseWriter
 	request *http.Request
 	client  platform.ClientRequest
 	table   *routing.Table
@@ -38,23 +38,25 @@
 	// latencyGoal is the time by which the response, or the first event of a
 	// stream, should be sent.
 	latencyGoal time.Time
+	// suspect is what the request is blamed for if its target ends.
+	suspect quarantine.Suspect
+}
+
+// exchange is the state of one client request across all attempts at targets.
+type exchange struct {
+	requestInfo
+	writer http.ResponseWriter
 
 	// attempts counts the attempts that a target may have run or has refused. An
 	// attempt that did not reach its target is not counted.
 	attempts int
-	// tried has the IDs of the targets tried so far.
-	tried []string
 	// reachedTarget is true once a target has received the request, whatever it
 	// replied.
 	reachedTarget bool
 	// mayHaveRun is true once a target may have run the request.
 	mayHaveRun bool
-	// hasResponseBegun is true once part of the response was sent to the client.
-	hasResponseBegun bool
 	// firstByteAt is the time at which the response to the client began.
 	firstByteAt time.Time
-	// suspect is what the request is blamed for if its target ends.
-	suspect quarantine.Suspect
 	// hasAttemptBegun is set if the target has begun to answer the current attempt.
 	hasAttemptBegun bool
 	// attemptActiveAt is when the current attempt was sent, or brought its last event.
@@ -70,8 +72,16 @@
 	noRetry string
 	// targetID is the ID of the target tried last.
 	targetID string
+
+	// mu guards the fields below, which a standby reads.
+	mu sync.Mutex
+	// tried has the IDs of the targets tried so far.
+	tried []string
+	// hasResponseBegun is true once part of the response was sent to the client.
+	hasResponseBegun bool
 	// lastEventID is the ID of the last event sent to the client.
 	lastEventID string
+	standbys    standbyState
 }
 
 // balanceRequest describes the request for the choice of its next target.
@@ -148,7 +158,9 @@
 func (x *exchange) send(ctx context.Context, lease *balance.Lease) (*upstream.Response, platform.Answer, error) {
 	t := lease.Target()
 	x.targetID, x.attemptEvents, x.hasAttemptBegun, x.endCause = t.ID, 0, false, nil
+	x.mu.Lock()
 	x.tried = append(x.tried, t.ID)
+	x.mu.Unlock()
 	now := time.Now()
 	x.attemptActiveAt = now
 	header := platform.ForwardHeader(x.request.Header, platform.TargetRequest{
--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -41,24 +41,9 @@
 // servePlain serves a request that has a single answer.
 func (x *exchange) servePlain(ctx context.Context) {
 	for {
-		now := time.Now()
-		lease, verdict := x.acquireLease(ctx, now)
+		lease, why := x.place(ctx, false, x.acquireLease)
 		if lease == nil {
-			x.refuseUnplaced(ctx, verdict)
-			return
-		}
-		if !lease.IsUsable() {
-			lease.Done(balance.Abandoned, 0, now)
-			continue
-		}
-		if reason := x.checkKey(); reason != "" {
-			lease.Done(balance.Abandoned, 0, now)
-			x.refuse(reason, retryDelay(minRetryDelay, maxRetryDelay))
-			return
-		}
-		if wait := x.quarantineWait(); wait > 0 {
-			lease.Done(balance.Abandoned, 0, now)
-			x.refuse(refusal.Quarantined, wait)
+			x.refuseUnplaced(ctx, why)
 			return
 		}
 		a, retry, reason := x.tryTarget(ctx, lease)
@@ -73,14 +58,58 @@
 	}
 }
 
-// refuseUnplaced ends a request for which no target was found.
-func (x *exchange) refuseUnplaced(ctx context.Context, verdict balance.Verdict) {
+// unplaced is why a request is not sent to a target.
+type unplaced struct {
+	// reason is empty if no target was found, as verdict explains.
+	reason  refusal.Reason
+	verdict balance.Verdict
+	// wait is the time after which the client is told to retry.
+	wait time.Duration
+}
+
+// acquireFunc reserves a slot of a target.
+type acquireFunc func(ctx context.Context, now time.Time) (*balance.Lease, balance.Verdict)
+
+// place finds a target to which the request must be sent at once. A target for a retry is
+// deducted from the retry budget.
+func (x *exchange) place(ctx context.Context, isRetry bool, acquire acquireFunc) (*balance.Lease, unplaced) {
+	for {
+		now := time.Now()
+		lease, verdict := acquire(ctx, now)
+		if lease == nil {
+			x.noRetry = "target"
+			return nil, unplaced{verdict: verdict}
+		}
+		if !lease.IsUsable() {
+			lease.Done(balance.Abandoned, 0, now)
+			continue
+		}
+		why := unplaced{reason: x.checkKey(), wait: retryDelay(minRetryDelay, maxRetryDelay)}
+		if why.reason == "" && isRetry && !x.reserveRetry(ctx) {
+			why.reason = refusal.Full
+		}
+		if why.reason == "" {
+			// Last, since what the quarantine admits must be sent.
+			if why.wait = x.quarantineWait(); why.wait <= 0 {
+				return lease, unplaced{}
+			}
+			why.reason = refusal.Quarantined
+		}
+		lease.Done(balance.Abandoned, 0, now)
+		return nil, why
+	}
+}
+
+// refuseUnplaced ends a request that is not sent to a target.
+func (x *exchange) refuseUnplaced(ctx context.Context, why unplaced) {
 	switch {
+	case why.reason != "":
+		x.refuse(why.reason, why.wait)
 	case x.request.Context().Err() != nil:
 		x.finish(0, string(refusal.Cancelled))
 	case ctx.Err() != nil:
 		x.refuse(x.deadlineReason(), 0)
-	case verdict == balance.NoTarget:
+	case why.verdict == balance.NoTarget:
 		x.refuse(refusal.NoTarget, x.noTargetDelay(time.Now()))
 	default:
 		x.refuse(refusal.Full, x.fullDelay(time.Now()))
@@ -176,7 +205,7 @@
 	lease.Done(balance.Answered, now.Sub(began), now)
 	x.recordProof()
 	if a.status >= 500 && x.route.Kind == routing.Idempotent && x.attempts < x.route.MaxTargets && a.remainder == nil {
-		if better := x.tryAnotherTarget(ctx, now); better != nil {
+		if better := x.tryAnotherTarget(ctx); better != nil {
 			return better, false, ""
 		}
 	}
@@ -185,18 +214,11 @@
 
 // tryAnotherTarget sends the request once more, after a target has answered with a
 // failure. It returns nil if that brings no answer.
-func (x *exchange) tryAnotherTarget(ctx context.Context, now time.Time) *answer {
-	if !x.reserveRetry(ctx) {
-		return nil
-	}
-	lease, _ := x.gateway.fleet.Pick(x.balanceRequest(), now)
+func (x *exchange) tryAnotherTarget(ctx context.Context) *answer {
+	lease, _ := x.place(ctx, true, x.pickLease)
 	if lease == nil {
 		return nil
 	}
-	if !lease.IsUsable() || x.checkKey() != "" || x.quarantineWait() > 0 {
-		lease.Done(balance.Abandoned, 0, now)
-		return nil
-	}
 	a, _, _ := x.tryTarget(ctx, lease)
 	return a
 }
@@ -222,14 +244,15 @@
 
 // targetFailed ends the lease of a target that gave no complete answer. A request
 // that its client cancelled, or that moves to another target because the rank
-// group is stalled or slowed down, does not count against the target.
+// group is stalled or slowed down, does not count against the target, nor does a
+// standby that is not needed any more.
 func (x *exchange) targetFailed(lease *balance.Lease, err error) {
 	ended := x.recordEnd(lease, err)
 	event.AttemptFailed.Log(x.gateway.log, "id", x.client.AttemptID, "target", lease.Target().ID,
 		"error", err.Error(), "cause", x.causeText(), "may-have-run", x.mayHaveRun, "events", x.attemptEvents,
 		"silent-ms", time.Since(x.attemptActiveAt).Milliseconds(), "target-ended", ended,
 		"prompt-parts", strings.Join(x.client.PromptParts, ","), "keys", keyNames(x.suspect))
-	if x.request.Context().Err() != nil || errors.Is(err, errStalled) || errors.Is(err, errSlow) {
+	if x.request.Context().Err() != nil || errors.Is(err, errStalled) || errors.Is(err, errSlow) || errors.Is(err, errNotNeeded) {
 		lease.Done(balance.Abandoned, 0, time.Now())
 		return
 	}
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -32,7 +32,7 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
 	g.clients.headerRead(r.Context())
-	x := &exchange{gateway: g, writer: w, request: r, client: platform.ReadClientRequest(r.Header), began: now}
+	x := &exchange{writer: w, requestInfo: requestInfo{gateway: g, request: r, client: platform.ReadClientRequest(r.Header), began: now}}
 	if g.draining.Load() {
 		x.closeConnection()
 	}
--- /dev/null
+++ b/internal/transport/gateway/standby_test.go
@@ -0,0 +1,122 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bluebellcrank/platform/standin"
+)
+
+// pausingStream streams events up to last: those after the client's last one up to
+// beforePause, and the others after a pause.
+type pausingStream struct {
+	beforePause, last int
+	pause             time.Duration
+	// then replaces what follows the pause.
+	then http.HandlerFunc
+}
+
+func (p pausingStream) serve(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	// Without a Last-Event-Id the stream begins at its first event.
+	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	_, _ = io.WriteString(w, eventText(from+1, p.beforePause))
+	_ = http.NewResponseController(w).Flush()
+	select {
+	case <-time.After(p.pause):
+	case <-r.Context().Done():
+		return
+	}
+	if p.then != nil {
+		p.then(w, r)
+		return
+	}
+	_, _ = io.WriteString(w, eventText(max(from, p.beforePause)+1, p.last))
+}
+
+// TestSilentStreamEndsOnlyOnceAnotherTargetGoesOn has the first target of a stream fall
+// silent.
+func TestSilentStreamEndsOnlyOnceAnotherTargetGoesOn(t *testing.T) {
+	const (
+		before, last = 3, 6
+		short, long  = 1300 * time.Millisecond, 3 * time.Second
+	)
+	breakOff := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	refuse := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	encoded := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Encoding", "gzip")
+		standin.Events(last, 0)(w, r)
+	}
+	failure := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
+	repeat := func(w http.ResponseWriter, r *http.Request) {
+		r.Header.Del("Last-Event-Id")
+		standin.Events(last, 0)(w, r)
+	}
+	whole := pausingStream{last: last}.serve
+	tests := []struct {
+		name string
+		// first and second are the first and the second target's streams; without a second
+		// one, there is one target.
+		first, second http.HandlerFunc
+		noBudget      bool
+		// cancelled says which of the two attempts this entry ends, except that -1 stands for
+		// an attempt that it may end.
+		cancelled [2]int
+	}{
+		{"the silent target goes on first", pausingStream{before, last, short, nil}.serve, pausingStream{0, last, long, nil}.serve, false, [2]int{0, 1}},
+		{"the other target goes on first", pausingStream{before, last, long, nil}.serve, whole, false, [2]int{1, 0}},
+		{"before the first event", pausingStream{0, last, long, nil}.serve, whole, false, [2]int{1, 0}},
+		{"the other target refuses", pausingStream{before, last, short, nil}.serve, refuse, false, [2]int{0, 0}},
+		{"the other target breaks off", pausingStream{before, last, short, nil}.serve, breakOff, false, [2]int{0, 0}},
+		{"the other target spoils its answer", pausingStream{before, last, short, nil}.serve, encoded, false, [2]int{0, -1}},
+		{"the other target fails", pausingStream{before, last, short, nil}.serve, failure, false, [2]int{0, 0}},
+		{"the other target begins anew", pausingStream{before, last, short, nil}.serve, repeat, false, [2]int{0, -1}},
+		{"no retry budget", pausingStream{before, last, short, nil}.serve, whole, true, [2]int{0, 0}},
+		{"no other target", pausingStream{before, last, short, nil}.serve, nil, false, [2]int{0, 0}},
+		{"all events but no end", pausingStream{last, last, long, nil}.serve, whole, false, [2]int{1, 0}},
+		{"the silent target breaks off meanwhile", pausingStream{before, last, short, breakOff}.serve, pausingStream{0, last, long / 2, nil}.serve, false, [2]int{0, 0}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			env := newTestEnv(t)
+			if tt.noBudget {
+				s := *env.settings.Load()
+				s.Bounds.RetryRatio, s.Bounds.RetryAllowance = 0, 0
+				env.settings.Store(&s)
+				env.gateway.Reload()
+			}
+			first, second := &standin.Target{ID: "t-0", Handler: tt.first}, &standin.Target{ID: "t-1", Handler: tt.second}
+			env.addTarget(first, first.ID, "drafts")
+			env.eventually("the first target is known", func() bool { return len(env.gateway.fleet.Targets(time.Now())) == 1 })
+			answered := make(chan reply, 1)
+			go func() { answered <- env.do(env.request(draft, "a-1", "{}")) }()
+			env.eventually("the first target has the request", func() bool { return len(first.Requests()) == 1 })
+			if tt.second != nil {
+				env.addTarget(second, second.ID, "drafts")
+			}
+			got := <-answered
+			if got.broken {
+				t.Log(env.log.buffer.String())
+			}
+			c.Check(got.status, qt.Equals, http.StatusOK)
+			c.Check(got.broken, qt.IsFalse)
+			c.Check(got.body, qt.Equals, eventText(1, last))
+			c.Check(len(first.Requests()), qt.Equals, 1)
+			isStarted := tt.second != nil && !tt.noBudget
+			c.Check(len(second.Requests()) == 1, qt.Equals, isStarted)
+			env.eventually("attempts that are not needed have ended", func() bool {
+				return first.CancelledCount() == tt.cancelled[0] && (tt.cancelled[1] < 0 || second.CancelledCount() == tt.cancelled[1])
+			})
+		})
+	}
+}
