A planned stop waits for the connections that are being accepted

What callers would see: a request on a connection that was accepted just as the entry stopped accepting is left without an answer.

Cause: Drain closed the listener and looked at the open connections at once. The listener goes on accepting what is queued, so that an entry with no open connection exited between accepting one and recording it; on a busy machine that gap is as long as the process is not scheduled.

--- a/internal/transport/gateway/env_test.go
+++ b/internal/transport/gateway/env_test.go
@@ -43,6 +43,8 @@
 	version                  int
 	// accepted has the client addresses of the connections that entries accepted.
 	accepted sync.Map
+	// traffic replaces the listener for the clients of the entries that are added next.
+	traffic net.Listener
 	// log has the log lines of all entries.
 	log lockedBuffer
 	// settings is the content of the settings file; nil stands for an invalid file.
@@ -164,6 +166,9 @@
 // for connections between them.
 func (env *testEnv) addEntry(name, address, store string) *Gateway {
 	l := Listeners{Traffic: &recordingListener{TCPListener: env.listen(address, 0).(*net.TCPListener), accepted: &env.accepted}, Ready: env.listen(address, 0), Entries: env.listen(address, env.entriesPort)}
+	if env.traffic != nil {
+		l.Traffic = env.traffic
+	}
 	env.entriesPort = l.Entries.Addr().(*net.TCPAddr).Port
 	s := instance.Settings{
 		Name: name, Address: address, DataCentre: "east", Bounds: instance.Bounds{}.Defaults(),
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -91,8 +91,10 @@
 	pauses          *process.PauseWatch
 
 	traffic *http.Server
-	// trafficListener accepts the connections of clients until the entry stops.
+	// trafficListener accepts the connections of clients until the entry stops, and
+	// trafficEnded is closed once it has accepted the last one.
 	trafficListener net.Listener
+	trafficEnded    chan struct{}
 	ready           *http.Server
 	// relay serves the store reads of other entries that cannot reach the store.
 	relay *http.Server
@@ -166,6 +168,7 @@
 		outages:        map[string]*balance.Outage{},
 		retryDetectors: map[string]*balance.RetryDetector{},
 		pauses:         process.NewPauseWatch(time.Now()),
+		trafficEnded:   make(chan struct{}),
 		stop:           stop,
 	}
 	g.peers = newEntryPeers(net.JoinHostPort(settings.Address, strconv.Itoa(settings.FirstPort)), log)
@@ -194,6 +197,7 @@
 	g.background.Go(func() { g.serveListener(g.ready, listeners.Ready) })
 	g.background.Go(func() { g.serveListener(g.relay, listeners.Entries) })
 	g.background.Go(func() {
+		defer close(g.trafficEnded)
 		g.serveListener(g.traffic, &clientListener{Listener: g.trafficListener, clients: g.clients})
 	})
 	g.background.Go(func() { process.Every(housekeepingInterval, ctx.Done(), g.housekeep) })
@@ -349,6 +353,10 @@
 	if err := g.trafficListener.Close(); err != nil {
 		event.ListenerFailed.Log(g.log, "error", err.Error())
 	}
+	select {
+	case <-g.trafficEnded:
+	case <-ctx.Done():
+	}
 	if g.closeConnectionsUntil(ctx.Done()) {
 		return
 	}
