--- a/internal/transport/gateway/drain_test.go
+++ b/internal/transport/gateway/drain_test.go
@@ -13,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"bluebellcrank/internal/state/instance"
 	"bluebellcrank/platform/standin"
 )
 
@@ -176,3 +177,18 @@
 		})
 	}
 }
+
+// TestLongRequestsAreNotTakenLateInAStop guards against requests that the entry cannot
+// finish, sent later than 3 s after a SIGTERM that the entry noticed a little late.
+func TestLongRequestsAreNotTakenLateInAStop(t *testing.T) {
+	const noticedLate = 80 * time.Millisecond
+	c := qt.New(t)
+	sigterm := time.Now()
+	g := &Gateway{drainStart: sigterm.Add(noticedLate)}
+	bounds := instance.Bounds{}.Defaults()
+	g.bounds.Store(&bounds)
+	g.draining.Store(true)
+	c.Check(g.isTooLate(bounds.GracePeriod, sigterm.Add(2500*time.Millisecond)), qt.IsFalse)
+	c.Check(g.isTooLate(bounds.GracePeriod, sigterm.Add(3*time.Second)), qt.IsTrue)
+	c.Check(g.isTooLate(time.Second, sigterm.Add(3*time.Second)), qt.IsFalse)
+}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -44,8 +44,10 @@
 	lastAnswersTime = 200 * time.Millisecond
 	// lateRequestMargin is how long after the last new connection a request may be read
 	// and still be taken by an entry that stops, although it may last longer than the
-	// entry does.
-	lateRequestMargin = 500 * time.Millisecond
+	// entry does. With drainNoticePeriod it stays below 3 s, so that a request that is cut
+	// at the end of the grace period was sent within 3 s of SIGTERM, even if the entry has
+	// noticed the signal late.
+	lateRequestMargin = 400 * time.Millisecond
 	// headerTimeout bounds the time in which a client sends its request header. A
 	// shorter limit of the configuration goes before it.
 	headerTimeout = 5 * time.Second
