Own interface: an agent that is silent for some seconds loses no answer

What callers saw: an agent whose process did not run for 3 s (busy machine, SIGSTOP) lost the streams and orders that it carried. The entry ended them after 1.8 to 2.5 s of silence as 'connection-lost' or with a cut stream, although nothing else could answer them: an order is never sent to a second target, and for other requests the retry budget and the targets were asked only afterwards.

Fix: silence of an agent ends no answer before the deadline. A request that may be sent to another target goes there as before, once a target and a retry are reserved for it; otherwise the entry asks the agent again until the deadline. An address that refuses connections has no process, and is given up at once as before.

--- a/internal/protocol/peer/pool.go
+++ b/internal/protocol/peer/pool.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -16,6 +17,10 @@
 // ErrUnreachable reports that a call got no reply. The call may have taken effect.
 var ErrUnreachable = errors.New("peer: unreachable")
 
+// IsRefused reports whether the error of a call shows that no process listens at the
+// peer's address. A peer that is silent may be paused, and go on.
+func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // dialTimeout limits the time to connect if the timeout of calls is longer.
 const dialTimeout = 500 * time.Millisecond
 
@@ -177,7 +182,7 @@
 func (p *Pool) dial(address string) (*jsonrpc2.Conn, error) {
 	conn, err := p.open(address, min(dialTimeout, p.timeout))
 	if err != nil {
-		return nil, fmt.Errorf("%w: %v", ErrUnreachable, err)
+		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
 	return jsonrpc2.NewConn(context.Background(), stream(&countingConn{Conn: conn, bytes: p.bytes}), ignoreCalls{}, withoutLogging), nil
 }
--- a/internal/transport/entry/call.go
+++ b/internal/transport/entry/call.go
@@ -41,6 +41,10 @@
 	fingerprint uint64
 	isSuspect   bool
 	tried       []*route.Candidate
+	// reserved is the target of the next attempt, if one is chosen, and hasRetry is set if
+	// the retry budget has granted it.
+	reserved *route.Candidate
+	hasRetry bool
 }
 
 // isKeyed reports whether the request has an idempotency key, or the attempt ID in place
--- a/internal/transport/entry/deliver.go
+++ b/internal/transport/entry/deliver.go
@@ -17,7 +17,7 @@
 	a.setHead(t.reply.Response())
 	stream := isStream(&t.reply.Response().Header)
 	reader := attempt.NewVerifyingReader(t.reply, e.guards.AnswerMatches, func(offset int64) (attempt.Source, error) {
-		return e.resume(t.source, offset)
+		return e.resume(c, t.source, offset)
 	})
 	if stream {
 		a.stream = reader
@@ -75,13 +75,16 @@
 
 // resume opens the answer at an offset over a new connection. A connection that fails
 // before the answer's head while the attempt is still pending does not count as a
-// failure.
-func (e *Entry) resume(o origin, offset int64) (attempt.Source, error) {
+// failure, nor does an agent that is silent before the deadline.
+func (e *Entry) resume(c *call, o origin, offset int64) (attempt.Source, error) {
 	var lastErr error
 	for n := 0; n < maxResumeFailures; n++ {
 		s, err := e.queryProgress(o, false)
 		if err != nil {
 			lastErr = err
+			if !peer.IsRefused(err) && time.Now().Before(c.deadline) {
+				n--
+			}
 			time.Sleep(resumeRetryDelay)
 			continue
 		}
--- a/internal/transport/entry/dispatch.go
+++ b/internal/transport/entry/dispatch.go
@@ -78,7 +78,7 @@
 func (e *Entry) dispatch(c *call) (*answer, *refusal.Refusal) {
 	return e.attemptTargets(c, attemptFuncs{
 		next: func() (targetAttempt, bool) {
-			candidate := e.pickCandidate(c)
+			candidate := e.nextCandidate(c)
 			if candidate == nil {
 				return targetAttempt{}, false
 			}
@@ -122,9 +122,10 @@
 			continue
 		}
 		mayHaveRun = true
-		if c.isKeyed() || !time.Now().Before(c.deadline) || !funcs.spendRetry() || e.checkSuspect(c) != nil {
+		if c.isKeyed() || !time.Now().Before(c.deadline) || !c.hasRetry && !funcs.spendRetry() || e.checkSuspect(c) != nil {
 			break
 		}
+		c.hasRetry = false
 	}
 	return nil, e.finalRefusal(c, last, mayHaveRun)
 }
@@ -172,6 +173,32 @@
 	return candidate
 }
 
+// nextCandidate returns the target that reserveRetry has chosen, or chooses one.
+func (e *Entry) nextCandidate(c *call) *route.Candidate {
+	if reserved := c.reserved; reserved != nil {
+		c.reserved = nil
+		return reserved
+	}
+	return e.pickCandidate(c)
+}
+
+// reserveRetry reports whether a call whose agent is silent may be sent to another target
+// at once, and reserves that target and a retry of the budget. Otherwise the silent agent is
+// the only one that may still answer.
+func (e *Entry) reserveRetry(c *call) bool {
+	if c.isKeyed() {
+		return false
+	}
+	if c.reserved == nil && len(c.tried) < maxAttempts {
+		c.reserved = e.pickCandidate(c)
+	}
+	if c.reserved == nil || !c.hasRetry && !e.spendRetry() {
+		return false
+	}
+	c.hasRetry = true
+	return true
+}
+
 // spendRetry removes a retry from the budget and reports whether there was one.
 func (e *Entry) spendRetry() bool {
 	granted := process.Call(e.member.Loop(), func(time.Time) bool { return e.budget.Spend() })
--- a/internal/transport/entry/resolve.go
+++ b/internal/transport/entry/resolve.go
@@ -107,20 +107,22 @@
 	return t
 }
 
-// settle queries the attempt's progress from the agent over a new connection. It
-// returns false if the answer can still be read. After the deadline it also cancels the
-// attempt.
+// settle queries the attempt's progress from the agent over a new connection, again and
+// again while the agent is silent. It returns false if the answer can still be read. After
+// the deadline it also cancels the attempt.
 func (e *Entry) settle(c *call, t targetAttempt) (targetAttempt, bool) {
-	pastDeadline := !time.Now().Before(c.deadline)
-	s, err := e.queryProgress(t.source, pastDeadline)
-	if err != nil && c.isKeyed() && !pastDeadline {
-		// A request that may run at most once is not sent to another target, so
-		// query this agent a second time. Other requests are retried elsewhere
-		// without this delay.
-		s, err = e.queryProgress(t.source, pastDeadline)
-	}
-	if err != nil {
-		return e.mayHaveRun(c, t, refusal.ConnectionLost, "the agent does not answer"), true
+	var s peer.Settlement
+	var pastDeadline bool
+	for {
+		var err error
+		pastDeadline = !time.Now().Before(c.deadline)
+		if s, err = e.queryProgress(t.source, pastDeadline); err == nil {
+			break
+		}
+		if pastDeadline || peer.IsRefused(err) || e.reserveRetry(c) {
+			return e.mayHaveRun(c, t, refusal.ConnectionLost, "the agent does not answer"), true
+		}
+		time.Sleep(resumeRetryDelay)
 	}
 	e.recordDeaths(c, s.Deaths)
 	switch s.Progress {
