--- a/cmd/standin/soak_relay_test.go
+++ b/cmd/standin/soak_relay_test.go
@@ -39,6 +39,10 @@
 
 // serveStore serves the store. It lists entries at the addresses of their relays.
 func (s *soakRun) serveStore(w http.ResponseWriter, r *http.Request) {
+	if answer := s.storeAnswer.Load(); answer != nil && r.Method == http.MethodGet {
+		(*answer)(w, r)
+		return
+	}
 	if r.Method == http.MethodPost && strings.HasSuffix(r.URL.Path, "/bluebellcrank-entries") {
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
--- a/cmd/standin/soak_test.go
+++ b/cmd/standin/soak_test.go
@@ -119,9 +119,15 @@
 	runCounts    runCounter
 	entries      []*soakEntry
 	targetRelays []*relay
+	// storeAnswer answers the reads of the store instead of it, if it is not nil.
+	storeAnswer atomic.Pointer[http.HandlerFunc]
 
 	// gracePeriod is how long an entry may run after SIGTERM.
 	gracePeriod time.Duration
+	// binary is the program of the entries, and memoryMB the memory limit in their
+	// settings; 0 for none.
+	binary   string
+	memoryMB int
 
 	mu      sync.Mutex
 	gapGoal time.Duration
@@ -161,6 +167,7 @@
 		gapGoal:     soakGapGoal,
 		timeout:     soakTimeout,
 		gracePeriod: soakGracePeriod,
+		binary:      filepath.Join(binaryDir, "bluebellcrank"),
 		runCounts:   runCounter{counts: map[string]int{}},
 		keys:        []string{soakKey, soakRemovedKey},
 	}
@@ -219,6 +226,7 @@
 		"internalPortRange": []json.Number{json.Number(e.internalPort), json.Number(e.internalPort)},
 		"bounds":            map[string]any{"revocationMs": revocation.Milliseconds(), "gracePeriodS": s.gracePeriod.Seconds(), "drainMs": 2000},
 		"platform":          map[string]string{"address": e.storeRelay.listenAddress},
+		"limits":            map[string]int{"memoryMb": s.memoryMB},
 	})
 	s.c.Assert(err, qt.IsNil)
 	s.c.Assert(os.WriteFile(e.settingsPath, content, 0o644), qt.IsNil)
@@ -229,7 +237,7 @@
 	log, err := os.OpenFile(filepath.Join(s.dir, e.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
 	s.c.Assert(err, qt.IsNil)
 	defer func() { _ = log.Close() }()
-	cmd := exec.Command(filepath.Join(binaryDir, "bluebellcrank"), "gateway", "--operator-port=0")
+	cmd := exec.Command(s.binary, "gateway", "--operator-port=0")
 	cmd.Env = append(os.Environ(), adapter.SettingsVariable+"="+e.settingsPath)
 	cmd.Stdout, cmd.Stderr = log, log
 	s.c.Assert(cmd.Start(), qt.IsNil)
