Own interface: an engine's answer without end is not kept

Calls of an agent to its target (load report, state of a rank, orders) read a body without end until the time-out: 0.5 to 2.2 GB in 2 s on loopback, which ends an agent and the requests that it carries.

--- a/internal/protocol/engine/engine.go
+++ b/internal/protocol/engine/engine.go
@@ -30,7 +30,7 @@
 	req.SetRequestURI("http://" + address + path)
 	req.SetConnectionClose()
 	var l Load
-	if err := fasthttp.DoTimeout(req, resp, timeout); err != nil {
+	if err := client.DoTimeout(req, resp, timeout); err != nil {
 		return l, fmt.Errorf("engine: load: %w", err)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
--- a/internal/protocol/engine/rank.go
+++ b/internal/protocol/engine/rank.go
@@ -58,7 +58,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + address + pathRank)
-	if err := fasthttp.DoTimeout(req, resp, timeout); err != nil {
+	if err := client.DoTimeout(req, resp, timeout); err != nil {
 		return s, fmt.Errorf("engine: rank: %w", err)
 	}
 	if err := json.Unmarshal(resp.Body(), &s); err != nil {
@@ -88,7 +88,7 @@
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI("http://" + address + path)
 	req.SetBody(body)
-	if err := fasthttp.DoTimeout(req, resp, timeout); err != nil {
+	if err := client.DoTimeout(req, resp, timeout); err != nil {
 		return fmt.Errorf("engine: %s: %w", path, err)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
