Own interface: a message of a peer without end is not kept

A connection between processes read a message of any announced length: an answer or a call without end was kept until the time-out, or for as long as it lasted (159 and 162 MB in a second on loopback).

TestMessageWithoutEndIsNotKept failed before, for an answer and for a call.

--- a/internal/protocol/peer/server.go
+++ b/internal/protocol/peer/server.go
@@ -116,7 +116,7 @@
 var withoutLogging = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
 
 func stream(conn net.Conn) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+	return jsonrpc2.NewBufferedStream(conn, limitedCodec{})
 }
 
 // Close stops accepting connections and closes the open ones.
