Own interface: answers without end share a bounded memory

Each answer had a limit of its own, 16 MB, and nothing limited them together: a target that sent bodies without end to 64 requests at once cost its agent 2,293 MB and the entry 2,240 MB (measured on processes), and the requests of all other callers with them.

The answers that are being received share a memory: half of kept-bytes at an agent, the new setting answer-bytes (64 MB) at an entry. Below it each gets what it needs. Above it only those grow that have less than an equal share, so that an answer without end is given up and small ones beside it are whole. A body that exceeds its limit is dropped at once.

--- a/cmd/standin/endless_test.go
+++ b/cmd/standin/endless_test.go
@@ -248,3 +248,55 @@
 	c.Check(noEnd.Load() > 0, qt.IsTrue)
 	c.Check(peak <= agentMemoryMB/2, qt.IsTrue, qt.Commentf("%d MB", peak))
 }
+
+// TestMemoryOfTheOwnInterfaceUnderBytesWithoutEnd has a target send answers without end to
+// many requests through an agent and an entry.
+func TestMemoryOfTheOwnInterfaceUnderBytesWithoutEnd(t *testing.T) {
+	const (
+		requests = 64
+		// keptMB is the default of the agent's kept-bytes. The garbage collector lets a
+		// heap grow to twice what is used, and answers are kept that are being received and
+		// that are complete.
+		keptMB = 64
+		maxMB  = 4 * keptMB
+	)
+	c := qt.New(t)
+	f := testFleet(t)
+	f.daemonBinary = plainBinary(t)
+	var hasNoEnd atomic.Bool
+	var noEnd atomic.Int64
+	endless := endlessBody(endlessNoise)("HTTP/1.1 200 OK\r\n")
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/load" || !hasNoEnd.Load() {
+			_, _ = io.WriteString(w, `{"boot":"b-1"}`)
+			return
+		}
+		noEnd.Add(1)
+		endless(w, r)
+	}))
+	t.Cleanup(func() {
+		target.CloseClientConnections()
+		target.Close()
+	})
+	must(t, f.addTarget("advisor-1", "advisor", "east", "--engine"))
+	f.proc("target-advisor-1").kill()
+	f.proc("advisor-1").kill()
+	f.targetAddresses["advisor-1"] = strings.TrimPrefix(target.URL, "http://")
+	must(t, f.startAgent(f.instance("advisor-1")), f.addEntry("entry-1", "east"), f.publishInstances())
+	push(t, f, map[string]string{"10.yaml": withKey(strings.ReplaceAll(testConfig, "cold-limit: 4, warm-limit: 32", "cold-limit: 64, warm-limit: 64"))})
+	must(t, f.waitReady("entry-1", "advisor"))
+	hasNoEnd.Store(true)
+	var callers sync.WaitGroup
+	for n := range requests {
+		callers.Go(func() {
+			got, _ := f.send("entry-1", "GET", "/advisor/x", fmt.Sprintf(`{"token":"%d"}`, n), nil)
+			c.Check(got.status == http.StatusOK && got.err == nil, qt.IsFalse)
+		})
+	}
+	callers.Wait()
+	agent, entry := peakMemoryMB(t, f.pid("advisor-1")), peakMemoryMB(t, f.pid("entry-1"))
+	t.Logf("%d MB at the agent and %d MB at the entry at the most, %d answers without end", agent, entry, noEnd.Load())
+	c.Check(noEnd.Load() >= minEndless, qt.IsTrue)
+	c.Check(agent <= maxMB, qt.IsTrue, qt.Commentf("%d MB at the agent", agent))
+	c.Check(entry <= maxMB, qt.IsTrue, qt.Commentf("%d MB at the entry", entry))
+}
--- a/internal/protocol/attempt/answer.go
+++ b/internal/protocol/attempt/answer.go
@@ -44,11 +44,13 @@
 	finished bool
 	err      error
 	maxBytes int
+	memory   *Memory
 }
 
-// NewAnswer returns an empty answer that buffers at most maxBytes bytes of body.
-func NewAnswer(maxBytes int) *Answer {
-	a := &Answer{digest: xxhash.New(), maxBytes: maxBytes, started: make(chan struct{})}
+// NewAnswer returns an empty answer that buffers at most maxBytes bytes of body, which
+// count in the memory until the answer ends.
+func NewAnswer(maxBytes int, memory *Memory) *Answer {
+	a := &Answer{digest: xxhash.New(), maxBytes: maxBytes, memory: memory, started: make(chan struct{})}
 	a.changed = sync.NewCond(&a.mu)
 	return a
 }
@@ -65,12 +67,15 @@
 	close(a.started)
 }
 
-// Write appends to the body. It fails if the body would exceed the limit.
+// Write appends to the body. It fails if the body would exceed the limit, and discards the
+// body then, which may be one without end.
 func (a *Answer) Write(p []byte) (int, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if len(a.body)+len(p) > a.maxBytes {
-		return 0, errors.New("attempt: answer exceeds the limit of buffered bytes")
+	if err := a.grow(len(a.body) + len(p)); err != nil {
+		a.memory.release(cap(a.body))
+		a.body = nil
+		return 0, err
 	}
 	a.body = append(a.body, p...)
 	_, _ = a.digest.Write(p)
@@ -78,6 +83,19 @@
 	return len(p), nil
 }
 
+// grow makes room for a body of a size. The caller holds a.mu.
+func (a *Answer) grow(size int) error {
+	if size > a.maxBytes {
+		return errors.New("attempt: answer exceeds the limit of buffered bytes")
+	}
+	if size <= cap(a.body) {
+		return nil
+	}
+	body, err := a.memory.grow(a.body, size)
+	a.body = body
+	return err
+}
+
 // End marks the answer as ended: complete if err is nil, incomplete otherwise.
 // Calls after the first one have no effect.
 func (a *Answer) End(err error) {
@@ -88,6 +106,7 @@
 	}
 	a.finished = true
 	a.err = err
+	a.memory.release(cap(a.body))
 	if !a.hasHead {
 		close(a.started)
 	}
--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -62,6 +62,8 @@
 	isTargetUp        bool
 	missedLoadReports int
 	keptBytes         int
+	// answerMemory is that of the answers that are being received.
+	answerMemory *attempt.Memory
 
 	report      atomic.Pointer[target.Report]
 	watchedConn atomic.Pointer[net.Conn]
@@ -75,6 +77,7 @@
 		settings:       s,
 		log:            log,
 		client:         attempt.NewClient(s.TargetReadTimeout),
+		answerMemory:   attempt.NewMemory(max(s.MaxAnswerBytes, s.MaxKeptBytes/2)),
 		traffic:        l.Traffic,
 		metrics:        metrics.NewSet(),
 		guards:         g,
--- a/internal/transport/agent/job.go
+++ b/internal/transport/agent/job.go
@@ -58,8 +58,8 @@
 }
 
 // newJob returns a waiting job for a request that costs the given number of units
-// at the gate. An answer of more than maxAnswerBytes ends as a failure.
-func newJob(env attempt.Envelope, req *fasthttp.Request, cost, maxAnswerBytes int, fingerprint uint64, now time.Time) *job {
+// at the gate.
+func newJob(env attempt.Envelope, req *fasthttp.Request, cost int, answer *attempt.Answer, fingerprint uint64, now time.Time) *job {
 	return &job{
 		envelope:    env,
 		request:     req,
@@ -68,7 +68,7 @@
 		deadline:    now.Add(env.Timeout()),
 		fingerprint: fingerprint,
 		gateResult:  make(chan refusal.Reason, 1),
-		answer:      attempt.NewAnswer(maxAnswerBytes),
+		answer:      answer,
 		phase:       waiting,
 		settled:     make(chan struct{}),
 	}
--- a/internal/transport/agent/serve.go
+++ b/internal/transport/agent/serve.go
@@ -62,7 +62,7 @@
 		}
 	}
 	f := retry.Fingerprint(env.Account(), env.Service(), string(req.Header.Method()), string(req.RequestURI()), body)
-	return newJob(env, req, cost, a.settings.MaxAnswerBytes, f, time.Now())
+	return newJob(env, req, cost, attempt.NewAnswer(a.settings.MaxAnswerBytes, a.answerMemory), f, time.Now())
 }
 
 // admit waits until the gate grants the job, claims the key of a keyed job, and
--- a/internal/transport/agent/settings.go
+++ b/internal/transport/agent/settings.go
@@ -21,7 +21,7 @@
 	LoadInterval      time.Duration      `name:"load-interval" yaml:"load-interval" default:"250ms" help:"Time between two load reports."`
 	TargetReadTimeout time.Duration      `name:"target-silence" yaml:"target-silence" default:"60s" help:"How long a target may send nothing in the middle of a request."`
 	MaxAnswerBytes    int                `name:"answer-bytes" yaml:"answer-bytes" default:"16777216" help:"Largest answer, in bytes."`
-	MaxKeptBytes      int                `name:"kept-bytes" yaml:"kept-bytes" default:"67108864" help:"Bytes of answers kept at once."`
+	MaxKeptBytes      int                `name:"kept-bytes" yaml:"kept-bytes" default:"67108864" help:"Bytes of answers kept at once; those being received may use half as much together, above which each gets an equal share."`
 	KeyedRetention    time.Duration      `name:"keep-keyed" yaml:"keep-keyed" default:"10m" help:"How long an answer can be replayed by its idempotency key."`
 	UnkeyedRetention  time.Duration      `name:"keep-other" yaml:"keep-other" default:"15s" help:"How long an unconfirmed answer is kept."`
 }
--- a/internal/transport/entry/deliver.go
+++ b/internal/transport/entry/deliver.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"time"
 
 	"bluebellcrank/internal/protocol/attempt"
@@ -24,7 +23,7 @@
 		a.finish = func(complete bool) { e.finishStream(c, t, complete) }
 		return a, nil
 	}
-	body, err := io.ReadAll(reader)
+	body, err := e.answers.ReadAll(reader)
 	_ = reader.Close()
 	t.candidate.RemoveInFlight(c.units)
 	if err != nil {
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -30,6 +30,8 @@
 	log      hclog.Logger
 	member   *member.Member
 	client   *attempt.Client
+	// answers is the memory of the answers that are being received.
+	answers  *attempt.Memory
 	app      *fiber.App
 	operator *process.OperatorServer
 	metrics  *metrics.Set
@@ -75,6 +77,7 @@
 		log:      log,
 		guards:   g,
 		client:   attempt.NewClient(s.AgentSilence),
+		answers:  attempt.NewMemory(s.AnswerBytes),
 		metrics:  set,
 		counters: newCounters(set),
 		stop:     make(chan struct{}),
--- a/internal/transport/entry/settings.go
+++ b/internal/transport/entry/settings.go
@@ -18,6 +18,7 @@
 	MaxBody          int           `name:"max-body" yaml:"max-body" default:"8388608" help:"Largest request body, in bytes."`
 	MaxHeader        int           `name:"max-header" yaml:"max-header" default:"16384" help:"Largest request header, in bytes."`
 	MaxInFlight      int           `name:"max-in-flight" yaml:"max-in-flight" default:"4096" help:"Requests in flight at this entry."`
+	AnswerBytes      int           `name:"answer-bytes" yaml:"answer-bytes" default:"67108864" help:"Bytes that the answers being received may use together; above them, each gets an equal share."`
 	ReadTimeout      time.Duration `name:"read-timeout" yaml:"read-timeout" default:"15s" help:"How long a caller may take to send a request."`
 	WriteTimeout     time.Duration `name:"write-timeout" yaml:"write-timeout" default:"15s" help:"How long a caller may take to accept the next bytes of an answer."`
 	Linger           time.Duration `name:"linger" yaml:"linger" default:"500ms" help:"How long a stopping entry keeps accepting requests, so that the platform's balancer notices."`
@@ -47,6 +48,9 @@
 	if s.MaxInFlight < 1 {
 		fail("max-in-flight: %d is not positive", s.MaxInFlight)
 	}
+	if s.AnswerBytes < 1 {
+		fail("answer-bytes: %d is not positive", s.AnswerBytes)
+	}
 	for _, d := range []struct {
 		name  string
 		value time.Duration
