A standby picks its target by its own state

The function that reserves a slot was bound to the exchange of the stream, so that a standby that waited for a slot read the stream's state while events changed it. It gets the standby's exchange now.

--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -41,7 +41,7 @@
 // servePlain serves a request that has a single answer.
 func (x *exchange) servePlain(ctx context.Context) {
 	for {
-		lease, why := x.place(ctx, false, x.acquireLease)
+		lease, why := x.place(ctx, false, (*exchange).acquireLease)
 		if lease == nil {
 			x.refuseUnplaced(ctx, why)
 			return
@@ -67,15 +67,15 @@
 	wait time.Duration
 }
 
-// acquireFunc reserves a slot of a target.
-type acquireFunc func(ctx context.Context, now time.Time) (*balance.Lease, balance.Verdict)
+// acquireFunc reserves a slot of a target for a request.
+type acquireFunc func(x *exchange, ctx context.Context, now time.Time) (*balance.Lease, balance.Verdict)
 
 // place finds a target to which the request must be sent at once. A target for a retry is
 // deducted from the retry budget.
 func (x *exchange) place(ctx context.Context, isRetry bool, acquire acquireFunc) (*balance.Lease, unplaced) {
 	for {
 		now := time.Now()
-		lease, verdict := acquire(ctx, now)
+		lease, verdict := acquire(x, ctx, now)
 		if lease == nil {
 			x.noRetry = "target"
 			return nil, unplaced{verdict: verdict}
@@ -215,7 +215,7 @@
 // tryAnotherTarget sends the request once more, after a target has answered with a
 // failure. It returns nil if that brings no answer.
 func (x *exchange) tryAnotherTarget(ctx context.Context) *answer {
-	lease, _ := x.place(ctx, true, x.pickLease)
+	lease, _ := x.place(ctx, true, (*exchange).pickLease)
 	if lease == nil {
 		return nil
 	}
--- a/internal/transport/gateway/standby.go
+++ b/internal/transport/gateway/standby.go
@@ -104,7 +104,7 @@
 	// After a pause of this process, events may have arrived that were not read yet.
 	if !w.exchange.gateway.pauses.HasPaused(now.Add(-stallCheckDelay), now) && w.exchange.isMovable() {
 		if cause := w.silence(now); cause != nil {
-			w.openStandby(cause, w.exchange.acquireLease, 0)
+			w.openStandby(cause, (*exchange).acquireLease, 0)
 			interval = stallCheckDelay
 		}
 	}
@@ -135,7 +135,7 @@
 		return false
 	}
 	w.nextMoveAt = now.Add(stallCheckDelay)
-	return w.openStandby(errSlow, w.exchange.pickLease, maxMoveTime)
+	return w.openStandby(errSlow, (*exchange).pickLease, maxMoveTime)
 }
 
 // isMovable reports whether the route lets the stream go on at another target.
--- a/internal/transport/gateway/standby_test.go
+++ b/internal/transport/gateway/standby_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"bluebellcrank/internal/coordination/balance"
 	"bluebellcrank/platform/standin"
 )
 
@@ -67,22 +68,25 @@
 		// one, there is one target.
 		first, second http.HandlerFunc
 		noBudget      bool
+		// noSlot is set if the second target has no free slot.
+		noSlot bool
 		// cancelled says which of the two attempts this entry ends, except that -1 stands for
 		// an attempt that it may end.
 		cancelled [2]int
 	}{
-		{"the silent target goes on first", pausingStream{before, last, short, nil}.serve, pausingStream{0, last, long, nil}.serve, false, [2]int{0, 1}},
-		{"the other target goes on first", pausingStream{before, last, long, nil}.serve, whole, false, [2]int{1, 0}},
-		{"before the first event", pausingStream{0, last, long, nil}.serve, whole, false, [2]int{1, 0}},
-		{"the other target refuses", pausingStream{before, last, short, nil}.serve, refuse, false, [2]int{0, 0}},
-		{"the other target breaks off", pausingStream{before, last, short, nil}.serve, breakOff, false, [2]int{0, 0}},
-		{"the other target spoils its answer", pausingStream{before, last, short, nil}.serve, encoded, false, [2]int{0, -1}},
-		{"the other target fails", pausingStream{before, last, short, nil}.serve, failure, false, [2]int{0, 0}},
-		{"the other target begins anew", pausingStream{before, last, short, nil}.serve, repeat, false, [2]int{0, -1}},
-		{"no retry budget", pausingStream{before, last, short, nil}.serve, whole, true, [2]int{0, 0}},
-		{"no other target", pausingStream{before, last, short, nil}.serve, nil, false, [2]int{0, 0}},
-		{"all events but no end", pausingStream{last, last, long, nil}.serve, whole, false, [2]int{1, 0}},
-		{"the silent target breaks off meanwhile", pausingStream{before, last, short, breakOff}.serve, pausingStream{0, last, long / 2, nil}.serve, false, [2]int{0, 0}},
+		{"the silent target goes on first", pausingStream{before, last, short, nil}.serve, pausingStream{0, last, long, nil}.serve, false, false, [2]int{0, 1}},
+		{"the other target goes on first", pausingStream{before, last, long, nil}.serve, whole, false, false, [2]int{1, 0}},
+		{"before the first event", pausingStream{0, last, long, nil}.serve, whole, false, false, [2]int{1, 0}},
+		{"the other target refuses", pausingStream{before, last, short, nil}.serve, refuse, false, false, [2]int{0, 0}},
+		{"the other target breaks off", pausingStream{before, last, short, nil}.serve, breakOff, false, false, [2]int{0, 0}},
+		{"the other target spoils its answer", pausingStream{before, last, short, nil}.serve, encoded, false, false, [2]int{0, -1}},
+		{"the other target fails", pausingStream{before, last, short, nil}.serve, failure, false, false, [2]int{0, 0}},
+		{"the other target begins anew", pausingStream{before, last, short, nil}.serve, repeat, false, false, [2]int{0, -1}},
+		{"no retry budget", pausingStream{before, last, short, nil}.serve, whole, true, false, [2]int{0, 0}},
+		{"no free slot", pausingStream{before, last, short, nil}.serve, whole, false, true, [2]int{0, 0}},
+		{"no other target", pausingStream{before, last, short, nil}.serve, nil, false, false, [2]int{0, 0}},
+		{"all events but no end", pausingStream{last, last, long, nil}.serve, whole, false, false, [2]int{1, 0}},
+		{"the silent target breaks off meanwhile", pausingStream{before, last, short, breakOff}.serve, pausingStream{0, last, long / 2, nil}.serve, false, false, [2]int{0, 0}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -98,11 +102,23 @@
 			first, second := &standin.Target{ID: "t-0", Handler: tt.first}, &standin.Target{ID: "t-1", Handler: tt.second}
 			env.addTarget(first, first.ID, "drafts")
 			env.eventually("the first target is known", func() bool { return len(env.gateway.fleet.Targets(time.Now())) == 1 })
+			addSecond := func() {
+				env.store.Put("servers", second.ID, map[string]any{
+					"service": "drafts", "address": env.serve(second), "zone": "east", "slots": 1, "state": "serving",
+				})
+			}
+			if tt.noSlot {
+				addSecond()
+				env.eventually("the second target's slot is taken", func() bool {
+					lease, _ := env.gateway.fleet.Pick(balance.Request{Service: "drafts", Stream: true, Tried: []string{first.ID}}, time.Now())
+					return lease != nil
+				})
+			}
 			answered := make(chan reply, 1)
 			go func() { answered <- env.do(env.request(draft, "a-1", "{}")) }()
 			env.eventually("the first target has the request", func() bool { return len(first.Requests()) == 1 })
-			if tt.second != nil {
-				env.addTarget(second, second.ID, "drafts")
+			if tt.second != nil && !tt.noSlot {
+				addSecond()
 			}
 			got := <-answered
 			if got.broken {
@@ -112,7 +128,7 @@
 			c.Check(got.broken, qt.IsFalse)
 			c.Check(got.body, qt.Equals, eventText(1, last))
 			c.Check(len(first.Requests()), qt.Equals, 1)
-			isStarted := tt.second != nil && !tt.noBudget
+			isStarted := tt.second != nil && !tt.noBudget && !tt.noSlot
 			c.Check(len(second.Requests()) == 1, qt.Equals, isStarted)
 			env.eventually("attempts that are not needed have ended", func() bool {
 				return first.CancelledCount() == tt.cancelled[0] && (tt.cancelled[1] < 0 || second.CancelledCount() == tt.cancelled[1])
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -46,7 +46,7 @@
 	var next *segment
 	for {
 		if next == nil {
-			lease, why := x.place(ctx, false, x.acquireLease)
+			lease, why := x.place(ctx, false, (*exchange).acquireLease)
 			if lease == nil {
 				x.endUnplacedStream(ctx, why)
 				return
