--- a/cmd/standin/endless_test.go
+++ b/cmd/standin/endless_test.go
@@ -76,22 +76,97 @@
 	}
 }
 
+// signedHead begins the head of a target's answer.
+const signedHead = "HTTP/1.1 200 OK\r\nServer-Signature: s\r\nContent-Type: text/event-stream\r\n"
+
+// endlessCase has targets, or the store and the entries that read it, send bytes without end.
+type endlessCase struct {
+	name string
+	path string
+	// target returns a target's answer for the head of one, and store answers the reads of
+	// the store; one of them is nil.
+	target func(head string) http.HandlerFunc
+	store  http.HandlerFunc
+}
+
+// endlessRun is a run of entries in which answers have no end.
+type endlessRun struct {
+	*soakRun
+	endlessCase
+	// noEnd counts these answers.
+	noEnd atomic.Int64
+	began time.Time
+}
+
+// addTargets replaces the targets by those of the case.
+func (r *endlessRun) addTargets() {
+	for _, name := range r.soakRun.store.Names("servers") {
+		r.soakRun.store.Delete("servers", name)
+	}
+	for n := range endlessTargets {
+		target := &standin.Target{ID: fmt.Sprint("endless-", n)}
+		if r.target != nil {
+			target.Handler = func(w http.ResponseWriter, q *http.Request) {
+				r.noEnd.Add(1)
+				r.target(signedHead+"Attempt-Id: "+q.Header.Get("Attempt-Id")+"\r\n")(w, q)
+			}
+		}
+		server := httptest.NewServer(target)
+		r.t.Cleanup(func() {
+			server.CloseClientConnections()
+			server.Close()
+		})
+		r.soakRun.store.Put("servers", target.ID, map[string]any{
+			"service": []string{"bells", "drafts"}[n%2], "address": strings.TrimPrefix(server.URL, "http://"), "zone": "east", "slots": endlessRequests, "state": "serving",
+		})
+	}
+}
+
+// restartEntry restarts an entry with another program.
+func (r *endlessRun) restartEntry(e *soakEntry, binary string) {
+	r.binary, r.memoryMB = binary, entryMemoryMB
+	r.writeSettings(e, soakRevocationLimit)
+	before := e.process()
+	e.signal(syscall.SIGKILL)
+	r.eventually("the entry runs again", func() bool { return e.process() != before && r.isReady(e) })
+	time.Sleep(time.Second) // until it knows the targets
+}
+
+// isOver reports whether there were enough answers without end.
+func (r *endlessRun) isOver() bool {
+	running := time.Since(r.began)
+	return running > endlessPeriod && r.noEnd.Load() >= minEndless || running > maxEndlessPeriod
+}
+
+// sendRequests sends requests to an entry until the run is over.
+func (r *endlessRun) sendRequests(e *soakEntry) {
+	var callers sync.WaitGroup
+	for range endlessRequests {
+		callers.Go(func() {
+			client := &http.Client{Timeout: endlessPeriod, Transport: &http.Transport{DisableKeepAlives: true}}
+			for !r.isOver() {
+				a := soakAttempt{id: fmt.Sprintf("e-%d", r.lastAttempt.Add(1)), apiKey: soakKey}
+				response, err := client.Do(r.newRequest(a, e.trafficAddress, r.path, soakBody))
+				if err == nil {
+					_, _ = io.CopyN(io.Discard, response.Body, 1<<20) // some bodies have no end
+					_ = response.Body.Close()
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	callers.Wait()
+}
+
 // TestMemoryOfAnEntryUnderBytesWithoutEnd has targets, the store and other entries send
 // bytes without end to many calls at once.
 func TestMemoryOfAnEntryUnderBytesWithoutEnd(t *testing.T) {
-	const signed = "HTTP/1.1 200 OK\r\nServer-Signature: s\r\nContent-Type: text/event-stream\r\n"
 	binary := plainBinary(t)
 	headWithoutEnd := func(string) http.HandlerFunc {
 		var written atomic.Int64
-		return standin.Endless(signed+"X: ", endlessNoise, 0, &written)
+		return standin.Endless(signedHead+"X: ", endlessNoise, 0, &written)
 	}
-	tests := []struct {
-		name   string
-		path   string
-		target func(head string) http.HandlerFunc
-		// store answers the reads of the store instead of it, if it is not nil.
-		store http.HandlerFunc
-	}{
+	tests := []endlessCase{
 		{"head", "/order/x", headWithoutEnd, nil},
 		{"body", "/order/x", endlessBody(endlessNoise), nil},
 		{"head of a stream", "/draft/x", headWithoutEnd, nil},
@@ -108,86 +183,42 @@
 				// The others are not slowed down, so that they read as much as they can.
 				t.Parallel()
 			}
-			s := newSoakRun(t, 1, soakRevocationLimit)
-			s.gapGoal = stallGapGoal
-			s.writeConfiguration()
-			for _, name := range s.store.Names("servers") {
-				s.store.Delete("servers", name)
-			}
-			var noEnd atomic.Int64
-			for n := range endlessTargets {
-				target := &standin.Target{ID: fmt.Sprint("endless-", n)}
-				if tt.target != nil {
-					target.Handler = func(w http.ResponseWriter, r *http.Request) {
-						noEnd.Add(1)
-						tt.target(signed+"Attempt-Id: "+r.Header.Get("Attempt-Id")+"\r\n")(w, r)
-					}
-				}
-				server := httptest.NewServer(target)
-				t.Cleanup(func() {
-					server.CloseClientConnections()
-					server.Close()
-				})
-				s.store.Put("servers", target.ID, map[string]any{
-					"service": []string{"bells", "drafts"}[n%2], "address": strings.TrimPrefix(server.URL, "http://"), "zone": "east", "slots": endlessRequests, "state": "serving",
-				})
-			}
-			e := s.entries[0]
-			s.binary, s.memoryMB = binary, entryMemoryMB
-			s.writeSettings(e, soakRevocationLimit)
-			before := e.process()
-			e.signal(syscall.SIGKILL)
-			s.eventually("the entry runs without the race detector", func() bool { return e.process() != before && s.isReady(e) })
-			time.Sleep(time.Second) // until it knows the targets
+			r := &endlessRun{soakRun: newSoakRun(t, 1, soakRevocationLimit), endlessCase: tt}
+			r.gapGoal = stallGapGoal
+			r.writeConfiguration()
+			r.addTargets()
+			e := r.entries[0]
+			r.restartEntry(e, binary)
+			var reads sync.WaitGroup
+			r.began = time.Now()
 			if tt.store != nil {
-				answer := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-					noEnd.Add(1)
-					tt.store(w, r)
+				answer := http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+					r.noEnd.Add(1)
+					tt.store(w, q)
 				})
-				s.storeAnswer.Store(&answer)
-			}
-			began := time.Now()
-			isOver := func() bool {
-				running := time.Since(began)
-				return running > endlessPeriod && noEnd.Load() >= minEndless || running > maxEndlessPeriod
-			}
-			var callers sync.WaitGroup
-			for range endlessRequests {
-				callers.Go(func() {
-					client := &http.Client{Timeout: endlessPeriod, Transport: &http.Transport{DisableKeepAlives: true}}
-					for !isOver() {
-						a := soakAttempt{id: fmt.Sprintf("e-%d", s.lastAttempt.Add(1)), apiKey: soakKey}
-						response, err := client.Do(s.newRequest(a, e.trafficAddress, tt.path, soakBody))
-						if err == nil {
-							_, _ = io.CopyN(io.Discard, response.Body, 1<<20) // some bodies have no end
-							_ = response.Body.Close()
-						}
-						time.Sleep(20 * time.Millisecond)
-					}
-				})
-			}
-			if tt.store != nil {
-				callers.Go(func() { s.relayReads(e, isOver) })
+				r.storeAnswer.Store(&answer)
+				reads.Go(func() { r.relayReads(e) })
 			}
-			callers.Wait()
+			r.sendRequests(e)
+			reads.Wait()
 			peak := peakMemoryMB(t, e.process().Process.Pid)
-			t.Logf("%d MB at the most, %d answers without end", peak, noEnd.Load())
-			s.c.Check(noEnd.Load() >= minEndless, qt.IsTrue, qt.Commentf("%d answers without end", noEnd.Load()))
-			s.c.Check(peak <= entryMemoryMB/2, qt.IsTrue, qt.Commentf("%d MB", peak))
-			s.storeAnswer.Store(nil)
+			t.Logf("%d MB at the most, %d answers without end", peak, r.noEnd.Load())
+			r.c.Check(r.noEnd.Load() >= minEndless, qt.IsTrue, qt.Commentf("%d answers without end", r.noEnd.Load()))
+			r.c.Check(peak <= entryMemoryMB/2, qt.IsTrue, qt.Commentf("%d MB", peak))
+			r.storeAnswer.Store(nil)
 		})
 	}
 }
 
 // relayReads sends reads of the store through an entry, as other entries do that do not
-// reach the store, until isOver.
-func (s *soakRun) relayReads(e *soakEntry, isOver func() bool) {
+// reach the store, until the run is over.
+func (r *endlessRun) relayReads(e *soakEntry) {
 	const relayed = 40
 	var all sync.WaitGroup
 	for range relayed {
 		all.Go(func() {
 			client := &http.Client{Timeout: time.Second}
-			for !isOver() {
+			for !r.isOver() {
 				response, err := client.Get("http://" + net.JoinHostPort(e.ip, e.internalPort) + "/v1/objects/servers")
 				if err == nil {
 					_, _ = io.CopyN(io.Discard, response.Body, 32<<20)
--- a/internal/transport/gateway/interrupted_test.go
+++ b/internal/transport/gateway/interrupted_test.go
@@ -16,7 +16,6 @@
 // TestInterruptedAnswerIsExplained checks that the log line of an interrupted answer says
 // what ended it and what was missing for another attempt.
 func TestInterruptedAnswerIsExplained(t *testing.T) {
-	const eventsBefore = 3
 	// endAfterEvents streams some events and then waits until wait returns.
 	endAfterEvents := func(wait func(r *http.Request)) func(http.ResponseWriter, *http.Request) {
 		return func(w http.ResponseWriter, r *http.Request) {
@@ -34,7 +33,7 @@
 		stop           bool
 		cause, noRetry string
 	}{
-		{name: "the target broke off", deadline: 4 * time.Second, wait: func(*http.Request) {}, noRetry: "leave to repeat"},
+		{name: "the target broke off", deadline: 4 * time.Second, wait: func(*http.Request) {}, noRetry: "permission to repeat"},
 		{name: "the deadline has passed", deadline: 300 * time.Millisecond, wait: untilCut, cause: errDeadline.Error(), noRetry: "time"},
 		{name: "the grace period is over", deadline: 4 * time.Second, wait: untilCut, stop: true, cause: errGraceOver.Error(), noRetry: "time"},
 	}
--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -70,8 +70,8 @@
 // acquireFunc reserves a slot of a target for a request.
 type acquireFunc func(x *exchange, ctx context.Context, now time.Time) (*balance.Lease, balance.Verdict)
 
-// place finds a target to which the request must be sent at once. A target for a retry is
-// deducted from the retry budget.
+// place finds a target to which the request must be sent at once. For a retry it deducts
+// the attempt from the retry budget once a target is found.
 func (x *exchange) place(ctx context.Context, isRetry bool, acquire acquireFunc) (*balance.Lease, unplaced) {
 	for {
 		now := time.Now()
@@ -159,7 +159,7 @@
 	case x.attempts >= x.route.MaxTargets:
 		x.noRetry = "attempts"
 	case x.mayHaveRun && !x.route.IsRepeatable():
-		x.noRetry = "leave to repeat"
+		x.noRetry = "permission to repeat"
 	case !x.reachedTarget:
 		if len(x.tried) < maxUnreachableTargets {
 			return true
--- a/internal/transport/gateway/standby.go
+++ b/internal/transport/gateway/standby.go
@@ -41,8 +41,9 @@
 // or slow. That one ends only once the standby has brought an event: silence does not prove
 // that a target has failed, and the standby may lack a target or the retry budget.
 type standby struct {
-	// exchange is the state of the attempt, which knows triedBefore targets of earlier ones.
-	exchange    *exchange
+	// exchange is the state of the attempt.
+	exchange *exchange
+	// triedBefore is how many targets had been tried before it.
 	triedBefore int
 	cancel      context.CancelCauseFunc
 	// segment is set once it has brought an event.
