Log which answers are skipped, and which attempts a target refuses

Cause: nothing told on which connection an attempt was refused, nor which answers were skipped there, so that the hypotheses on an order that ran twice could not be told apart.

Measured: TestRefusalThatIsSentAgain finds the refusal and the skipped copy on one connection.

--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -200,6 +200,11 @@
 			got := platform.ReadAnswer(http.StatusOK, h).AttemptID
 			return got == "" && isFirst || got == x.client.AttemptID
 		},
+		Skipped: func(status int, h http.Header, c upstream.ConnInfo) {
+			x.gateway.metrics.answersSkipped.Inc()
+			event.AnswerSkipped.Log(x.gateway.log, "id", x.client.AttemptID, "target", t.ID, "status", status,
+				"answers-id", platform.ReadAnswer(status, h).AttemptID, "connection", c.Local(), "requests", c.Requests())
+		},
 	})
 	if err != nil {
 		return nil, platform.Answer{}, err
--- a/internal/transport/gateway/faulty_test.go
+++ b/internal/transport/gateway/faulty_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"bluebellcrank/internal/state/event"
 )
 
 // rawTarget is a target that writes bytes of its own to its connections.
@@ -128,6 +130,12 @@
 				env.c.Check(got.body, qt.Equals, "struck")
 			}
 			env.c.Check(target.runs.Load(), qt.Equals, int64(1))
+			if refused := env.logged(event.TargetRefused); env.c.Check(refused, qt.HasLen, 1) && !tt.isEarly {
+				for _, skipped := range env.logged(event.AnswerSkipped) {
+					env.c.Check(skipped["connection"], qt.Equals, refused[0]["connection"])
+				}
+				env.c.Check(len(env.logged(event.AnswerSkipped)) > 0, qt.IsTrue)
+			}
 		})
 	}
 }
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -11,6 +11,7 @@
 	set               *metrics.Set
 	connectionsOpened *metrics.Counter
 	retries           *metrics.Counter
+	answersSkipped    *metrics.Counter
 	streamsResumed    *metrics.Counter
 	relayedReads      *metrics.Counter
 	targetsEnded      *metrics.Counter
@@ -38,6 +39,7 @@
 		set:                    set,
 		connectionsOpened:      set.NewCounter("bluebellcrank_target_connections_opened_total"),
 		retries:                set.NewCounter("bluebellcrank_repeated_sends_total"),
+		answersSkipped:         set.NewCounter("bluebellcrank_answers_skipped_total"),
 		streamsResumed:         set.NewCounter("bluebellcrank_streams_resumed_total"),
 		relayedReads:           set.NewCounter("bluebellcrank_store_reads_passed_on_total"),
 		targetsEnded:           set.NewCounter("bluebellcrank_attempts_whose_target_ended_total"),
--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -308,6 +308,9 @@
 
 // targetRefused ends the lease of a target that did not run the request.
 func (x *exchange) targetRefused(lease *balance.Lease, res *upstream.Response, info platform.Answer) {
+	event.TargetRefused.Log(x.gateway.log, "id", x.client.AttemptID, "target", lease.Target().ID, "status", res.StatusCode,
+		"answers-id", info.AttemptID, "connection", res.Conn().Local(), "requests", res.Conn().Requests(),
+		"after-ms", time.Since(x.attemptActiveAt).Milliseconds())
 	res.DiscardBody()
 	now := time.Now()
 	res.Close(now)
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -55,6 +55,8 @@
 	// limit limits what reader may read.
 	limit  *limitedReader
 	reader *bufio.Reader
+	// requests is the number of requests that the connection has carried.
+	requests int
 	// lastUsed is when the connection was last returned to the pool; zero if never.
 	lastUsed time.Time
 	// idleTimeout is how long the connection may stay idle in the pool before
@@ -67,6 +69,23 @@
 	return &conn{Conn: c, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize), idleTimeout: maxIdleTime}
 }
 
+// ConnInfo identifies a connection in logs.
+type ConnInfo struct {
+	local    string
+	requests int
+}
+
+// Local returns the connection's own address.
+func (i ConnInfo) Local() string { return i.local }
+
+// Requests returns the number of requests that the connection has carried, the one under
+// way included.
+func (i ConnInfo) Requests() int { return i.requests }
+
+func (c *conn) info() ConnInfo {
+	return ConnInfo{local: c.LocalAddr().String(), requests: c.requests}
+}
+
 // abort closes a connection whose request got no complete response. It resets
 // the connection, so that bytes still in transit do not reach a paused target
 // after the client has left.
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -91,6 +91,8 @@
 	// request and not to an earlier one; nil accepts every response. isFirst is set
 	// for the first response on its connection.
 	Matches func(h http.Header, isFirst bool) bool
+	// Skipped is told of each response that is skipped, and its connection; nil for none.
+	Skipped func(status int, h http.Header, c ConnInfo)
 	// MaxIdleTime is the idle time from which a pooled connection is not reused
 	// for this request.
 	MaxIdleTime time.Duration
@@ -141,6 +143,7 @@
 		p.opened()
 		c = newConn(opened)
 	}
+	c.requests++
 	out := &Response{pool: p, conn: c, address: r.Address}
 	out.stopCancel = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	written, err := out.writeRequest(r)
@@ -204,6 +207,9 @@
 			limit.remaining = math.MaxInt64
 			return nil
 		}
+		if r.Skipped != nil {
+			r.Skipped(response.StatusCode, response.Header, res.conn.info())
+		}
 		res.reusable, isFirst = false, false
 		if response.Close {
 			break
@@ -216,6 +222,9 @@
 	return errors.New("the connection carries responses to other requests")
 }
 
+// Conn identifies the connection of the response.
+func (res *Response) Conn() ConnInfo { return res.conn.info() }
+
 // DiscardBody reads a body that nobody needs, so that Close may return the connection
 // to the pool. It gives up after discardTimeout or maxStrayBytes.
 func (res *Response) DiscardBody() {
