A connection carries each request id once

What callers saw: an order ran twice.

Cause: an answer counted as the attempt's own if it bore the attempt's id, which is not unique on a connection. Connections are kept by address; an attempt that was refused goes on to the next target of the list, which may share the address (an old registration beside the one after a restart, with 421), or its client sends it again. A copy of the refusal says the same id while the attempt is under way there: it was taken for the answer, and the attempt went on to a third target. A request without an id took any answer without one.

Change: the pool knows the id of each request, remembers those that a connection has carried, and sends a request only where its id tells its answer from all that may come there: on a connection that has not carried the id, and on a new one if there is no id. A connection is closed after 256 requests, which bounds the memory at 2 KB. Nothing is closed because of a refusal, so that full targets get new connections only for attempts that come to one address again.

--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -196,14 +196,12 @@
 		Header:      header,
 		Body:        x.body,
 		MaxIdleTime: maxIdle,
-		Matches: func(h http.Header, isFirst bool) bool {
-			got := platform.ReadAnswer(http.StatusOK, h).AttemptID
-			return got == "" && isFirst || got == x.client.AttemptID
-		},
+		ID:          x.client.AttemptID,
+		ReadID:      platform.ReadAttemptID,
 		Skipped: func(status int, h http.Header, c upstream.ConnInfo) {
 			x.gateway.metrics.answersSkipped.Inc()
 			event.AnswerSkipped.Log(x.gateway.log, "id", x.client.AttemptID, "target", t.ID, "status", status,
-				"answers-id", platform.ReadAnswer(status, h).AttemptID, "connection", c.Local(), "requests", c.Requests())
+				"answers-id", platform.ReadAttemptID(h), "connection", c.Local(), "requests", c.Requests())
 		},
 	})
 	if err != nil {
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"errors"
 	"net"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 )
 
@@ -17,6 +19,8 @@
 	// response that is skipped. A target in trouble may send either without end.
 	maxHeadBytes  = 64 << 10
 	maxStrayBytes = 256 << 10
+	// maxRequestsPerConn limits the memory for the ids of a connection's requests.
+	maxRequestsPerConn = 256
 	// probeIdle, probeInterval and probeCount configure TCP keep-alive so that
 	// it detects a vanished target in 2 to 3 s. By then a client has given up
 	// on a silent stream.
@@ -55,8 +59,8 @@
 	// limit limits what reader may read.
 	limit  *limitedReader
 	reader *bufio.Reader
-	// requests is the number of requests that the connection has carried.
-	requests int
+	// carried has the hashes of the ids of all requests that the connection has carried.
+	carried []uint64
 	// lastUsed is when the connection was last returned to the pool; zero if never.
 	lastUsed time.Time
 	// idleTimeout is how long the connection may stay idle in the pool before
@@ -83,7 +87,13 @@
 func (i ConnInfo) Requests() int { return i.requests }
 
 func (c *conn) info() ConnInfo {
-	return ConnInfo{local: c.LocalAddr().String(), requests: c.requests}
+	return ConnInfo{local: c.LocalAddr().String(), requests: len(c.carried)}
+}
+
+// mayCarry reports whether a response can be told from those to the connection's earlier
+// requests by the id of its request. A response to an earlier request may come again.
+func (c *conn) mayCarry(id string) bool {
+	return len(c.carried) == 0 || id != "" && !slices.Contains(c.carried, xxhash.Sum64String(id))
 }
 
 // abort closes a connection whose request got no complete response. It resets
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -15,6 +15,8 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bluebellcrank/internal/protocol/socket"
 )
 
@@ -87,10 +89,12 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Matches reports whether a response with this header belongs to this
-	// request and not to an earlier one; nil accepts every response. isFirst is set
-	// for the first response on its connection.
-	Matches func(h http.Header, isFirst bool) bool
+	// ID identifies the request. A connection carries requests with different ids only,
+	// and a request without one is the first on its connection.
+	ID string
+	// ReadID returns the id of the request to which a response with this header belongs,
+	// or an empty text if it names none. A nil function accepts every response.
+	ReadID func(h http.Header) string
 	// Skipped is told of each response that is skipped, and its connection; nil for none.
 	Skipped func(status int, h http.Header, c ConnInfo)
 	// MaxIdleTime is the idle time from which a pooled connection is not reused
@@ -98,6 +102,19 @@
 	MaxIdleTime time.Duration
 }
 
+// isAnsweredBy reports whether a response belongs to the request and not to an earlier one.
+// isFirst is set for the first response on its connection.
+func (r *Request) isAnsweredBy(h http.Header, isFirst bool) bool {
+	if r.ReadID == nil {
+		return true
+	}
+	id := r.ReadID(h)
+	if id == "" {
+		return isFirst
+	}
+	return id == r.ID
+}
+
 // Response is a target's response. Close must be called.
 type Response struct {
 	*http.Response
@@ -134,7 +151,7 @@
 // Do sends a request once and returns when the header of the response was read.
 // Its error is a *SendError. The end of the context aborts the connection.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	c := p.get(r.Address, r.MaxIdleTime, time.Now())
+	c := p.get(r, time.Now())
 	if c == nil {
 		opened, err := p.dialer.DialContext(ctx, "tcp", r.Address)
 		if err != nil {
@@ -143,7 +160,7 @@
 		p.opened()
 		c = newConn(opened)
 	}
-	c.requests++
+	c.carried = append(c.carried, xxhash.Sum64String(r.ID))
 	out := &Response{pool: p, conn: c, address: r.Address}
 	out.stopCancel = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	written, err := out.writeRequest(r)
@@ -192,7 +209,7 @@
 func (res *Response) readHeader(r *Request) error {
 	request := &http.Request{Method: r.Method}
 	limit := res.conn.limit
-	isFirst := res.conn.lastUsed.IsZero()
+	isFirst := len(res.conn.carried) == 1
 	for range maxStrayResponses + 1 {
 		limit.remaining = maxHeadBytes
 		response, err := http.ReadResponse(res.conn.reader, request)
@@ -202,7 +219,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if r.Matches == nil || r.Matches(response.Header, isFirst) {
+		if r.isAnsweredBy(response.Header, isFirst) {
 			res.Response = response
 			limit.remaining = math.MaxInt64
 			return nil
@@ -249,7 +266,7 @@
 		res.conn.abort()
 		return
 	}
-	if !notCancelled || !res.reusable || res.Response.Close || res.conn.reader.Buffered() > 0 {
+	if !notCancelled || !res.reusable || res.Response.Close || res.conn.reader.Buffered() > 0 || len(res.conn.carried) >= maxRequestsPerConn {
 		_ = res.conn.Close()
 		return
 	}
@@ -283,33 +300,35 @@
 	p.idle[address] = append(p.idle[address], c)
 }
 
-// get returns the most recently used idle connection that has been idle for less
-// than maxIdle and can still be reused, or nil. It closes the connections that it
-// rejects.
-func (p *Pool) get(address string, maxIdle time.Duration, now time.Time) *conn {
+// get returns the most recently used idle connection that may carry a request, has been idle
+// for less than the request's MaxIdleTime and can still be reused, or nil. It closes the
+// connections that can't be reused.
+func (p *Pool) get(r *Request, now time.Time) *conn {
 	for {
-		c := p.pop(address)
+		c := p.pop(r)
 		if c == nil {
 			return nil
 		}
-		if idle := now.Sub(c.lastUsed); idle < min(maxIdle, c.idleTimeout) && c.isReusable() {
+		if idle := now.Sub(c.lastUsed); idle < min(r.MaxIdleTime, c.idleTimeout) && c.isReusable() {
 			return c
 		}
 		_ = c.Close()
 	}
 }
 
-// pop removes and returns the most recently used idle connection, or nil.
-func (p *Pool) pop(address string) *conn {
+// pop removes and returns the most recently used idle connection that may carry a request,
+// or nil.
+func (p *Pool) pop(r *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	list := p.idle[r.Address]
+	for n, c := range slices.Backward(list) {
+		if c.mayCarry(r.ID) {
+			p.idle[r.Address] = slices.Delete(list, n, n+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // Sweep closes the connections that have been idle longer than their idle
--- a/internal/transport/upstream/pool_test.go
+++ b/internal/transport/upstream/pool_test.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -34,8 +36,10 @@
 	return l.Addr().String(), out
 }
 
+var requestCount atomic.Int64
+
 func newRequest(address string) *Request {
-	return &Request{Address: address, Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{}, Body: []byte("b"), MaxIdleTime: time.Hour}
+	return &Request{ID: fmt.Sprint("r-", requestCount.Add(1)), Address: address, Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{}, Body: []byte("b"), MaxIdleTime: time.Hour}
 }
 
 // TestCancelledRequestIsReset cancels a request to a target that does not read.
@@ -143,3 +147,53 @@
 	c.Check(p.idle[addresses[0]], qt.HasLen, 0)
 	c.Check(p.idle[addresses[1]], qt.HasLen, 1)
 }
+
+// TestConnectionCarriesEachRequestIDOnce guards against a response to an earlier request
+// that is taken for the response to a later one with the same id.
+func TestConnectionCarriesEachRequestIDOnce(t *testing.T) {
+	tests := []struct {
+		name   string
+		ids    []string
+		opened int
+	}{
+		{"different ids", []string{"a", "b", "c"}, 1},
+		{"the same id", []string{"a", "a"}, 2},
+		{"the same id, after another one", []string{"a", "b", "a"}, 2},
+		{"three times", []string{"a", "a", "a"}, 3},
+		{"other ids go on with the connections of before", []string{"a", "a", "b", "c"}, 2},
+		{"no id, on an open connection", []string{"a", ""}, 2},
+		{"no id, twice", []string{"", ""}, 2},
+		{"an id, after a request without one", []string{"", "a"}, 1},
+		{"as many requests as a connection may carry", numbered(maxRequestsPerConn), 1},
+		{"one more", numbered(maxRequestsPerConn + 1), 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+			t.Cleanup(server.Close)
+			opened := 0
+			p := NewPool(func() { opened++ })
+			for _, id := range tt.ids {
+				r := newRequest(strings.TrimPrefix(server.URL, "http://"))
+				r.ID = id
+				res, err := p.Do(t.Context(), r)
+				c.Assert(err, qt.IsNil)
+				_, err = io.Copy(io.Discard, res.Body)
+				c.Assert(err, qt.IsNil)
+				res.MarkBodyRead()
+				res.Close(time.Now())
+			}
+			c.Check(opened, qt.Equals, tt.opened)
+		})
+	}
+}
+
+// numbered returns a number of different ids.
+func numbered(count int) []string {
+	var out []string
+	for n := range count {
+		out = append(out, fmt.Sprint("n-", n))
+	}
+	return out
+}
