--- a/internal/transport/gateway/env_test.go
+++ b/internal/transport/gateway/env_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -164,6 +165,7 @@
 			<-r.Context().Done()
 			return
 		}
+		maps.Copy(rw.Header(), answer.Header())
 		rw.WriteHeader(answer.Code)
 		_, _ = rw.Write(answer.Body.Bytes())
 	}))
