Log that the store was restored, and that it has lost a configuration

Cause: no log line told that the store had gone back, nor whether it had the version in force when it confirmed it, so that the hypotheses on a restored store could not be told apart.

Change: the store's generation is read from its answers. Events 1214 and 1215 name the generations, and the version that the store has beside the one in force. Nothing is decided by them yet.

--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -67,6 +67,8 @@
 	EntryRemoved             = declare(1211, hclog.Warn, "entry no longer responds: removed from the list of entries")
 	StoreReadsRelayed        = declare(1212, hclog.Warn, "reads of the store relayed through other entries, or direct again")
 	EntryInvalid             = declare(1213, hclog.Warn, "list of entries contains an invalid entry")
+	StoreRestored            = declare(1214, hclog.Warn, "store was restored from a copy: what was written since may be gone")
+	ConfigLost               = declare(1215, hclog.Warn, "store has an older configuration than the one in force")
 	RequestEnded             = declare(2101, hclog.Info, "request ended")
 	SlowClientsClosed        = declare(2103, hclog.Info, "connections closed: request headers incomplete after the time limit")
 	Quarantined              = declare(2104, hclog.Warn, "quarantined: a request, or a part of prompts, crashes its targets")
--- a/internal/transport/follower/follower.go
+++ b/internal/transport/follower/follower.go
@@ -70,7 +70,9 @@
 	// was read; 0 if one may have been missed.
 	seenRevision int64
 	// confirmedAt is the boot time of the latest confirmation, in nanoseconds.
-	confirmedAt       atomic.Int64
+	confirmedAt atomic.Int64
+	// generation is that of the store at the last read of the configuration.
+	generation        int64
 	targetsListed     atomic.Bool
 	evacuationsListed atomic.Bool
 	isUnreachable     atomic.Bool
@@ -207,6 +209,7 @@
 		f.logConfigFailure(ctx, "list", requestedAt, err)
 		return err
 	}
+	f.recordGeneration()
 	f.applyConfig(read, "list", requestedAt)
 	revision, complete := read.Revision, len(read.Invalid) == 0
 	if complete {
@@ -233,6 +236,7 @@
 		}
 		failures = 0
 		revision, complete = read.Revision, complete || read.Table != nil
+		f.recordGeneration()
 		f.applyConfig(read, "watch", requestedAt)
 		if complete {
 			f.seenRevision = revision
@@ -242,6 +246,15 @@
 	}
 }
 
+// recordGeneration logs that the store was restored since the last read of the configuration.
+func (f *Follower) recordGeneration() {
+	before := f.generation
+	f.generation = f.store.Generation()
+	if before != 0 && before != f.generation {
+		event.StoreRestored.Log(f.log, "generation", f.generation, "before", before)
+	}
+}
+
 // confirmationTime returns the latest boot time at which a watch confirms that
 // the configuration was current. A reply without a change that comes after the
 // full wait confirms the end of the wait, any other reply only the time of the
@@ -289,6 +302,9 @@
 		return
 	}
 	if old := f.table.Load(); old != nil && old.Version() >= t.Version() {
+		if old.Version() > t.Version() {
+			event.ConfigLost.Log(f.log, "version", t.Version(), "in-force", old.Version(), "read", read)
+		}
 		return
 	}
 	f.table.Store(t)
