A position in the store is a generation and a revision

What callers would see: after a drill, an entry that was slow or paused misses a target, a data centre out of service or a version of the configuration for good, and another entry's fresh registration is removed.

Cause: the store's revisions go back with it and are given out again, but a position was a revision alone: a watch that the store answers late goes on behind changes that it never showed, answers of before the restore count after it, and a registration is removed by a revision that another one has now.

Change: the generation in each answer of the store belongs to the position.

--- a/internal/transport/follower/follower.go
+++ b/internal/transport/follower/follower.go
@@ -66,13 +66,15 @@
 	log    hclog.Logger
 
 	table atomic.Pointer[routing.Table]
-	// seenRevision is the revision up to which every version of the configuration
-	// was read; 0 if one may have been missed.
-	seenRevision int64
+	// seen is the position up to which every version of the configuration was read; the zero
+	// value if one may have been missed.
+	seen platform.Position
 	// confirmedAt is the boot time of the latest confirmation, in nanoseconds.
 	confirmedAt atomic.Int64
-	// generation is that of the store at the last read of the configuration.
+	// generation is that of the store at the last read of the configuration, and hasRead is
+	// set after the first.
 	generation        int64
+	hasRead           bool
 	targetsListed     atomic.Bool
 	evacuationsListed atomic.Bool
 	isUnreachable     atomic.Bool
@@ -209,25 +211,25 @@
 		f.logConfigFailure(ctx, "list", requestedAt, err)
 		return err
 	}
-	f.recordGeneration()
+	f.recordGeneration(read.Position)
 	f.applyConfig(read, "list", requestedAt)
-	revision, complete := read.Revision, len(read.Invalid) == 0
+	position, complete := read.Position, len(read.Invalid) == 0
 	if complete {
-		f.seenRevision = revision
+		f.seen = position
 		f.confirm(requestedAt)
-	} else if f.seenRevision > 0 {
-		revision, complete = f.seenRevision, true
+	} else if f.seen.Generation() == position.Generation() && f.seen != (platform.Position{}) {
+		position, complete = f.seen, true
 	}
 	for failures := 0; ; {
 		requestedAt = process.BootTime()
 		wait := nextConfigWait(f.ConfirmationAge(requestedAt), f.limits().ConfirmationLifetime)
-		read, err := f.store.WatchConfig(ctx, revision, wait)
+		read, err := f.store.WatchConfig(ctx, position, wait)
 		if err != nil {
 			f.logConfigFailure(ctx, "watch", requestedAt, err)
 			f.restartWatches(ctx)
 			isHistoryGone := errors.Is(err, platform.ErrHistoryGone)
 			if isHistoryGone {
-				f.seenRevision = 0
+				f.seen = platform.Position{}
 			}
 			if failures++; isHistoryGone || failures > 1 {
 				return err
@@ -235,24 +237,23 @@
 			continue
 		}
 		failures = 0
-		revision, complete = read.Revision, complete || read.Table != nil
-		f.recordGeneration()
+		position, complete = read.Position, complete || read.Table != nil
 		f.applyConfig(read, "watch", requestedAt)
 		if complete {
-			f.seenRevision = revision
+			f.seen = position
 			changed := read.Table != nil || len(read.Invalid) > 0
 			f.confirm(confirmationTime(requestedAt, process.BootTime(), wait, changed))
 		}
 	}
 }
 
-// recordGeneration logs that the store was restored since the last read of the configuration.
-func (f *Follower) recordGeneration() {
-	before := f.generation
-	f.generation = f.store.Generation()
-	if before != 0 && before != f.generation {
-		event.StoreRestored.Log(f.log, "generation", f.generation, "before", before)
+// recordGeneration records the position of a list of the configuration, and logs that the store
+// was restored since the one before.
+func (f *Follower) recordGeneration(p platform.Position) {
+	if f.hasRead && f.generation != p.Generation() {
+		event.StoreRestored.Log(f.log, "generation", p.Generation(), "before", f.generation)
 	}
+	f.generation, f.hasRead = p.Generation(), true
 }
 
 // confirmationTime returns the latest boot time at which a watch confirms that
@@ -275,8 +276,8 @@
 
 // confirm records that the configuration was current at a boot time.
 func (f *Follower) confirm(at time.Duration) {
-	f.confirmedAt.Store(max(f.confirmedAt.Load(), int64(at)))
 	f.recordReachable()
+	f.confirmedAt.Store(max(f.confirmedAt.Load(), int64(at)))
 }
 
 // logConfigFailure logs a failed read of the configuration, unless the follower is
@@ -315,7 +316,7 @@
 
 // followTargets lists the targets and applies their changes until a call fails.
 func (f *Follower) followTargets(ctx context.Context) error {
-	list, faults, revision, err := f.store.Targets(ctx)
+	list, faults, position, err := f.store.Targets(ctx)
 	if err != nil {
 		return err
 	}
@@ -323,11 +324,11 @@
 	f.sink.ReplaceTargets(list, time.Now())
 	f.targetsListed.Store(true)
 	for {
-		changes, faults, next, err := f.store.WatchTargets(ctx, revision, listWatchWait)
+		changes, faults, next, err := f.store.WatchTargets(ctx, position, listWatchWait)
 		if err != nil {
 			return err
 		}
-		revision = next
+		position = next
 		f.logInvalid(faults)
 		f.recordReachable()
 		if len(changes) > 0 {
@@ -347,18 +348,18 @@
 // followEvacuations lists the data centres that are out of service and applies
 // changes until a call fails.
 func (f *Follower) followEvacuations(ctx context.Context) error {
-	out, revision, err := f.store.Evacuations(ctx)
+	out, position, err := f.store.Evacuations(ctx)
 	if err != nil {
 		return err
 	}
 	f.applyEvacuations(out)
 	f.evacuationsListed.Store(true)
 	for {
-		changes, next, err := f.store.WatchEvacuations(ctx, revision, listWatchWait)
+		changes, next, err := f.store.WatchEvacuations(ctx, position, listWatchWait)
 		if err != nil {
 			return err
 		}
-		revision = next
+		position = next
 		if len(changes) == 0 {
 			continue
 		}
--- a/internal/transport/gateway/entries.go
+++ b/internal/transport/gateway/entries.go
@@ -94,7 +94,7 @@
 	}
 	if name := neighbour.Choose(g.settings.Name, lo.Keys(list)); name != "" && neighbour.RecordCheck(g.canReach(list[name].Address)) {
 		event.EntryRemoved.Log(g.log, "entry", name, "address", list[name].Address)
-		if err := g.store.RemoveEntry(ctx, name, list[name].Revision); err != nil && !errors.Is(err, platform.ErrConflict) {
+		if err := g.store.RemoveEntry(ctx, name, list[name].Registered); err != nil && !errors.Is(err, platform.ErrConflict) {
 			event.StoreWriteFailed.Log(g.log, "error", err.Error())
 		}
 	}
--- /dev/null
+++ b/internal/transport/gateway/restored_test.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bluebellcrank/internal/coordination/balance"
+	"bluebellcrank/platform"
+	"bluebellcrank/platform/standin"
+)
+
+// restoreTime is how long after a restore an entry may not know yet what was written again.
+const restoreTime = 3 * time.Second
+
+// fill raises the store's revision by changes that the entries watch.
+func (env *testEnv) fill(count int) {
+	for n := range count {
+		env.putTarget("filler", "drafts", fmt.Sprint("http://127.0.0.1:", n+1), "serving")
+	}
+}
+
+// knowsTarget reports whether an entry has a target in a state.
+func knowsTarget(g *Gateway, id string, isLeaving bool) bool {
+	return slices.ContainsFunc(g.fleet.Targets(time.Now()), func(t balance.TargetState) bool { return t.ID == id && t.Leaving == isLeaving })
+}
+
+// TestChangeAfterARestoreIsNotMissed restores the store while it answers no call, so that a
+// watch goes on from a revision that is given out again, past a change.
+func TestChangeAfterARestoreIsNotMissed(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(env *testEnv)
+		isSeen func(env *testEnv) bool
+	}{
+		{"a new target", func(env *testEnv) { env.putTarget("t-new", "bells", "http://127.0.0.1:9", "serving") }, func(env *testEnv) bool {
+			return knowsTarget(env.gateway, "t-new", false)
+		}},
+		{"a target that leaves", func(env *testEnv) { env.putTarget("t-0", "bells", "http://127.0.0.1:9", "draining") }, func(env *testEnv) bool {
+			return knowsTarget(env.gateway, "t-0", true)
+		}},
+		{"a data centre out of service", func(env *testEnv) { env.store.Put("evacuations", "east", map[string]any{}) }, func(env *testEnv) bool {
+			return env.do(env.request(order, "a-east", "strike")).status == http.StatusServiceUnavailable
+		}},
+		{"a version of the configuration", func(env *testEnv) { env.configure("another-key", order) }, func(env *testEnv) bool {
+			return env.gateway.follower.Table().Account("another-key") != nil
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t)
+			env.addTarget(&standin.Target{ID: "t-0"}, "t-0", "bells")
+			env.eventually("the target is known", func() bool { return knowsTarget(env.gateway, "t-0", false) })
+			copied := env.store.Copy()
+			env.fill(8)
+			env.configure(testKey, order)
+			env.store.Put("evacuations", "west", map[string]any{})
+			env.eventually("the entry follows", func() bool { return env.gateway.follower.Table().Version() == 2 })
+			time.Sleep(time.Second) // all watches wait from a late revision
+			env.store.Hang()
+			env.store.Restore(copied)
+			tt.change(env)
+			env.fill(20)
+			env.store.Resume()
+			for end := time.Now().Add(restoreTime); time.Now().Before(end) && !tt.isSeen(env); {
+				time.Sleep(20 * time.Millisecond)
+			}
+			env.c.Check(tt.isSeen(env), qt.IsTrue)
+		})
+	}
+}
+
+// TestRegistrationIsNotRemovedByARevisionOfBefore has an entry be removed by the revision of
+// its registration before the store was restored.
+func TestRegistrationIsNotRemovedByARevisionOfBefore(t *testing.T) {
+	env := newTestEnv(t)
+	s := platform.NewStore(env.storeAddress)
+	copied := env.store.Copy()
+	env.c.Assert(s.Register(t.Context(), "entry-9", "127.0.0.9", "east"), qt.IsNil)
+	list, _, err := s.Entries(t.Context(), false)
+	env.c.Assert(err, qt.IsNil)
+	env.store.Restore(copied)
+	env.c.Assert(s.Register(t.Context(), "entry-9", "127.0.0.9", "east"), qt.IsNil)
+	env.c.Check(s.RemoveEntry(t.Context(), "entry-9", list["entry-9"].Registered), qt.ErrorIs, platform.ErrConflict)
+	env.c.Check(slices.Contains(env.store.Names("bluebellcrank-entries"), "entry-9"), qt.IsTrue)
+}
