A store that has lost the newest configuration confirms nothing

What callers would see: a key that was taken away is served again after a drill, by an entry that starts or that was cut off when the key was removed.

Cause: any answer of the store in time counted as the confirmation of what is in force, whatever version the store had; and an entry that starts takes the version that it finds as the newest.

Change: an entry confirms its configuration only while the store has a version that is not older than the newest one known to be applied. At its start and after each restore an entry asks the others for that version, before it confirms anything. The version in force stays, and one that is written again with the same number counts. While the store lacks it, requests with keys are refused as while the store is down.

--- a/internal/transport/follower/follower.go
+++ b/internal/transport/follower/follower.go
@@ -55,6 +55,9 @@
 	// SetOutOfService receives every data centre whose state is known; the
 	// value is true for one that is out of service.
 	SetOutOfService func(out map[string]bool, now time.Time)
+	// AppliedVersion returns the newest version of the configuration that other entries have
+	// applied; 0 if they know none.
+	AppliedVersion func(ctx context.Context) int64
 }
 
 // Follower reads and watches the store until it is closed. It is safe for
@@ -69,6 +72,13 @@
 	// seen is the position up to which every version of the configuration was read; the zero
 	// value if one may have been missed.
 	seen platform.Position
+	// storedVersion is the newest version of the configuration that the store was seen to have
+	// since it was last restored.
+	storedVersion int64
+	// knownVersion is the newest version that this or another entry has applied.
+	knownVersion atomic.Int64
+	// tableGeneration is the generation of the store from which the table was read.
+	tableGeneration int64
 	// confirmedAt is the boot time of the latest confirmation, in nanoseconds.
 	confirmedAt atomic.Int64
 	// generation is that of the store at the last read of the configuration, and hasRead is
@@ -121,6 +131,10 @@
 // read.
 func (f *Follower) Table() *routing.Table { return f.table.Load() }
 
+// KnownVersion returns the newest version of the configuration that this or another entry is
+// known to have applied; 0 if there is none.
+func (f *Follower) KnownVersion() int64 { return f.knownVersion.Load() }
+
 // ConfirmationAge returns the time between the latest confirmation that the
 // configuration is current and the given boot time.
 func (f *Follower) ConfirmationAge(boot time.Duration) time.Duration {
@@ -211,7 +225,7 @@
 		f.logConfigFailure(ctx, "list", requestedAt, err)
 		return err
 	}
-	f.recordGeneration(read.Position)
+	f.recordGeneration(ctx, read.Position)
 	f.applyConfig(read, "list", requestedAt)
 	position, complete := read.Position, len(read.Invalid) == 0
 	if complete {
@@ -247,13 +261,19 @@
 	}
 }
 
-// recordGeneration records the position of a list of the configuration, and logs that the store
-// was restored since the one before.
-func (f *Follower) recordGeneration(p platform.Position) {
-	if f.hasRead && f.generation != p.Generation() {
+// recordGeneration records that a list of the configuration comes from the start of this
+// process, or is the first since the store was restored. The store may then have lost a version
+// that removed keys, so the other entries are asked for the newest one.
+func (f *Follower) recordGeneration(ctx context.Context, p platform.Position) {
+	if f.hasRead && f.generation == p.Generation() {
+		return
+	}
+	if f.hasRead {
 		event.StoreRestored.Log(f.log, "generation", p.Generation(), "before", f.generation)
 	}
 	f.generation, f.hasRead = p.Generation(), true
+	f.storedVersion = 0
+	f.knownVersion.Store(max(f.knownVersion.Load(), f.sink.AppliedVersion(ctx)))
 }
 
 // confirmationTime returns the latest boot time at which a watch confirms that
@@ -274,9 +294,13 @@
 	return min(longest, max(minConfigWait, time.Duration(nextConfirmationShare*float64(lifetime))-age))
 }
 
-// confirm records that the configuration was current at a boot time.
+// confirm records that the configuration was current at a boot time, unless the store has lost
+// a version that was applied.
 func (f *Follower) confirm(at time.Duration) {
 	f.recordReachable()
+	if f.storedVersion < f.knownVersion.Load() {
+		return
+	}
 	f.confirmedAt.Store(max(f.confirmedAt.Load(), int64(at)))
 }
 
@@ -292,8 +316,8 @@
 }
 
 // applyConfig applies the configuration that a list or a watch returned, which was
-// requested at a boot time, if it is newer than the current one. It logs the versions
-// that are invalid.
+// requested at a boot time, if it is newer than the current one, or the same version written
+// again. It logs the versions that are invalid.
 func (f *Follower) applyConfig(c platform.ConfigRead, read string, requestedAt time.Duration) {
 	for _, err := range c.Invalid {
 		event.ConfigInvalid.Log(f.log, "error", err.Error())
@@ -302,13 +326,17 @@
 	if t == nil {
 		return
 	}
-	if old := f.table.Load(); old != nil && old.Version() >= t.Version() {
-		if old.Version() > t.Version() {
-			event.ConfigLost.Log(f.log, "version", t.Version(), "in-force", old.Version(), "read", read)
-		}
+	f.storedVersion = max(f.storedVersion, t.Version())
+	if known := f.knownVersion.Load(); f.storedVersion < known {
+		event.ConfigLost.Log(f.log, "version", f.storedVersion, "known", known, "read", read)
+	}
+	generation := c.Position.Generation()
+	if old := f.table.Load(); old != nil && (old.Version() > t.Version() || old.Version() == t.Version() && generation == f.tableGeneration) {
 		return
 	}
 	f.table.Store(t)
+	f.tableGeneration = generation
+	f.knownVersion.Store(max(f.knownVersion.Load(), t.Version()))
 	now := process.BootTime()
 	event.ConfigAdopted.Log(f.log, "version", t.Version(), "read", read, "read-ms", (now - requestedAt).Milliseconds(),
 		"proof-age-ms", f.ConfirmationAge(now).Milliseconds())
--- a/internal/transport/gateway/entries.go
+++ b/internal/transport/gateway/entries.go
@@ -130,6 +130,7 @@
 	mux.HandleFunc(pathLoan, g.targetLimits.serveLoan)
 	mux.HandleFunc(pace.Path, g.servePaces)
 	mux.HandleFunc(pathRefusals, g.refusals.serveMessage)
+	mux.HandleFunc(pathAppliedVersion, g.serveAppliedVersion)
 	mux.HandleFunc("/", g.relayRead)
 	return mux
 }
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -196,6 +196,7 @@
 		ReplaceTargets:  g.fleet.Replace,
 		ApplyChanges:    g.fleet.ApplyChanges,
 		SetOutOfService: g.fleet.SetDataCentresOut,
+		AppliedVersion:  g.appliedVersion,
 	}, g.limits, log)
 	listeners = g.guardListeners(listeners)
 	g.ready = g.newServer(g.serveReady, maxInternalHeaderBytes)
--- a/internal/transport/gateway/restored_test.go
+++ b/internal/transport/gateway/restored_test.go
@@ -17,6 +17,9 @@
 // restoreTime is how long after a restore an entry may not know yet what was written again.
 const restoreTime = 3 * time.Second
 
+// removedKey is a key of the first version of a restoredEnv.
+const removedKey = "removed-key"
+
 // fill raises the store's revision by changes that the entries watch.
 func (env *testEnv) fill(count int) {
 	for n := range count {
@@ -75,6 +78,68 @@
 	}
 }
 
+// TestRemovedKeyIsNotServedWhileTheStoreHasLostItsRemoval restores a store from before a key
+// was removed, with an entry that knows the removal and one that may not.
+func TestRemovedKeyIsNotServedWhileTheStoreHasLostItsRemoval(t *testing.T) {
+	tests := []struct {
+		name string
+		// start returns the entry that knows the removal, and a function that returns the
+		// other one after the restore.
+		start func(env *testEnv) (*Gateway, func() *Gateway)
+	}{
+		{"the same entry", func(env *testEnv) (*Gateway, func() *Gateway) {
+			return env.gateway, func() *Gateway { return env.gateway }
+		}},
+		{"an entry that starts", func(env *testEnv) (*Gateway, func() *Gateway) {
+			return env.gateway, func() *Gateway { return env.addEntry("entry-2", "127.0.0.2", env.storeAddress) }
+		}},
+		{"an entry that was cut off", func(env *testEnv) (*Gateway, func() *Gateway) {
+			env.storeBlocked.Store(true)
+			env.silenceStore()
+			other := env.addEntry("entry-2", "127.0.0.2", env.storeAddress)
+			env.eventually("the other entry is ready", other.isReady)
+			return other, func() *Gateway {
+				time.Sleep(env.settings.Load().Bounds.RevocationTimeout)
+				env.storeBlocked.Store(false)
+				return env.gateway
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			env := newTestEnv(t)
+			env.addTarget(&standin.Target{ID: "t-0"}, "t-0", "bells")
+			env.configure(removedKey, order)
+			env.eventually("the key is known", func() bool { return env.gateway.follower.Table().Account(removedKey) != nil })
+			knower, start := tt.start(env)
+			env.eventually("the entry is registered", func() bool {
+				return slices.Contains(env.store.Names("bluebellcrank-entries"), knower.settings.Name)
+			})
+			copied := env.store.Copy()
+			env.configure(testKey, order)
+			env.eventually("the key is removed", func() bool { return knower.follower.Table().Account(removedKey) == nil })
+			env.store.SetFailureStatus(http.StatusServiceUnavailable)
+			time.Sleep(200 * time.Millisecond)
+			env.store.Restore(copied)
+			env.store.SetFailureStatus(0)
+			g := start()
+			do := func(attempt, key string) int {
+				q := env.request(order, attempt, "strike")
+				q.URL.Host = g.settings.TrafficListen
+				q.Header.Set("Authorization", "Token "+key)
+				return env.do(q).status
+			}
+			for end := time.Now().Add(restoreTime); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				env.c.Assert(do("a-1", removedKey), qt.Not(qt.Equals), http.StatusOK)
+			}
+			env.version--
+			env.configure(testKey, order)
+			env.eventually("the key of the version that is written again is served", func() bool { return do("a-2", testKey) == http.StatusOK })
+			env.c.Check(do("a-3", removedKey), qt.Equals, http.StatusUnauthorized)
+		})
+	}
+}
+
 // TestRegistrationIsNotRemovedByARevisionOfBefore has an entry be removed by the revision of
 // its registration before the store was restored.
 func TestRegistrationIsNotRemovedByARevisionOfBefore(t *testing.T) {
