What an entry wrote is written again once the store was restored

What callers would see: after a drill, entries that share budgets and relay reads are missing from the list for up to 20 s, and a quarantined request crashes targets again at entries that start.

Cause: registrations and quarantined keys were written once, as if writes last.

Change: an entry reads the list of entries at once when it learns of a restore, and registers if it is not on it; it writes all keys that are quarantined.

Measured: TestWhatAnEntryWroteIsWrittenAgainAfterARestore failed before (neither was back within 3 s) and passes.

--- a/internal/transport/gateway/entries.go
+++ b/internal/transport/gateway/entries.go
@@ -44,6 +44,7 @@
 	backoff := housekeepingInterval
 	for ctx.Err() == nil {
 		delay := backoff
+		_, restored := g.store.Generation()
 		backoff = min(2*backoff, maxEntriesRetryDelay)
 		list, invalid, err := g.store.Entries(ctx, reads > 1)
 		for _, err := range invalid {
@@ -75,6 +76,8 @@
 		}
 		select {
 		case <-time.After(delay):
+		case <-restored:
+			reads = 0 // the registration may be lost, and a stale list would not tell
 		case <-ctx.Done():
 		}
 	}
--- a/internal/transport/gateway/quarantinestore.go
+++ b/internal/transport/gateway/quarantinestore.go
@@ -31,19 +31,40 @@
 	}
 }
 
-// syncStore reads the quarantined keys from the store, and then writes those that change.
+// syncStore reads the quarantined keys from the store, and then writes those that change, and
+// all of them once the store was restored.
 func (q *quarantineList) syncStore(ctx context.Context) {
 	q.repeat(ctx, q.load)
+	saved, _ := q.store.Generation()
 	for {
+		generation, restored := q.store.Generation()
+		if generation != saved {
+			saved = generation
+			q.save(q.quarantined(process.BootTime()))
+		}
 		select {
 		case k := <-q.unsaved:
 			q.repeat(ctx, func(ctx context.Context) error { return q.write(ctx, k) })
+		case <-restored:
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// quarantined returns all keys that are quarantined.
+func (q *quarantineList) quarantined(now time.Duration) []quarantine.Key {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var out []quarantine.Key
+	for _, r := range q.list.Reports(0, now) {
+		if q.list.IsQuarantined(r.Key) {
+			out = append(out, r.Key)
+		}
+	}
+	return out
+}
+
 // repeat runs f until it succeeds or the context ends.
 func (q *quarantineList) repeat(ctx context.Context, f func(context.Context) error) {
 	for ctx.Err() == nil {
--- a/internal/transport/gateway/restored_test.go
+++ b/internal/transport/gateway/restored_test.go
@@ -10,6 +10,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"bluebellcrank/internal/coordination/balance"
+	"bluebellcrank/internal/coordination/quarantine"
+	"bluebellcrank/internal/transport/process"
 	"bluebellcrank/platform"
 	"bluebellcrank/platform/standin"
 )
@@ -140,6 +142,34 @@
 	}
 }
 
+// TestWhatAnEntryWroteIsWrittenAgainAfterARestore restores a store from before the entry
+// registered and quarantined a key.
+func TestWhatAnEntryWroteIsWrittenAgainAfterARestore(t *testing.T) {
+	env := newTestEnv(t)
+	suspect := quarantine.Suspect{Request: 7}
+	for n := range 3 {
+		env.gateway.quarantine.recordCrash(suspect, true, process.BootTime()+time.Duration(n)*time.Second)
+	}
+	names := func() []string {
+		return slices.Concat(env.store.Names("bluebellcrank-entries"), env.store.Names("bluebellcrank-quarantined"))
+	}
+	written := []string{"entry-1", keyName(7)}
+	env.eventually("both are written", func() bool { return slices.Equal(names(), written) })
+	copied := env.store.Copy()
+	for _, name := range written {
+		env.store.Delete("bluebellcrank-entries", name)
+		env.store.Delete("bluebellcrank-quarantined", name)
+	}
+	empty := env.store.Copy()
+	env.store.Restore(copied)
+	time.Sleep(secondReadDelay + time.Second) // the next read is due after entriesReadInterval
+	env.store.Restore(empty)
+	for end := time.Now().Add(restoreTime); time.Now().Before(end) && !slices.Equal(names(), written); {
+		time.Sleep(20 * time.Millisecond)
+	}
+	env.c.Check(names(), qt.DeepEquals, written)
+}
+
 // TestRegistrationIsNotRemovedByARevisionOfBefore has an entry be removed by the revision of
 // its registration before the store was restored.
 func TestRegistrationIsNotRemovedByARevisionOfBefore(t *testing.T) {
