A connection that brought another request's answer is closed

What callers saw: after one answer too many without a body, further requests on that connection to the target got "may have run" although the target had answered them.

Cause: the agent and the entry turn away an answer with another id and close its reply. The HTTP client closes the connection then only if a body was left unread. After an empty one, 204, or HEAD, it is back in the pool, one answer behind, until two answers arrive together.

Evidence: TestRequestIsNotAnsweredByACopiedAnswer has a target write one copy.

Change: Reply.Discard marks the connection as not reusable, and closes the idle ones, since one without a body is back in the pool before its head can be read. A request that takes it in between is turned away in the same way, by its id.

A copy costs the one request that it is taken for, and the idle connections to that target.

--- a/internal/protocol/attempt/client.go
+++ b/internal/protocol/attempt/client.go
@@ -229,6 +229,19 @@
 	return body, r.Close()
 }
 
+// Discard closes the reply of another request together with its connection, on which
+// the answer to this one may still come. A connection that carried no body is back in
+// the pool by then, so that all idle ones are closed.
+func (r *Reply) Discard() {
+	if r.resp == nil {
+		return
+	}
+	r.resp.SetConnectionClose()
+	// The connection is given up, so an error of Close loses nothing.
+	_ = r.Close()
+	r.host.CloseIdleConnections()
+}
+
 // Close releases the reply. The connection is closed if the body was not read to
 // its end.
 func (r *Reply) Close() error {
--- a/internal/transport/agent/run.go
+++ b/internal/transport/agent/run.go
@@ -67,6 +67,7 @@
 	}
 	defer func() { _ = reply.Close() }()
 	if err := a.validateHead(j, reply.Response()); err != nil {
+		reply.Discard()
 		return runResult{failure: err}
 	}
 	return a.storeAnswer(j, reply)
--- a/internal/transport/entry/resolve.go
+++ b/internal/transport/entry/resolve.go
@@ -59,7 +59,7 @@
 	}
 	// The answer is of another attempt, or the outcome header is missing or unknown.
 	event.AnswerMismatched.Log(e.log, "attempt", t.id)
-	_ = reply.Close()
+	reply.Discard()
 	return e.mayHaveRun(c, t, refusal.AnswerLost, "the answer belongs to another request"), false
 }
 
