The connection of one request leaves a goroutine for a second, not for 30

Cause: a request on a connection of its own has a host of its own in the HTTP library, whose cleaner ends only when it wakes, after the idle time of kept connections. Requests with a key and resumed answers have such connections; at 100 a second, 3,000 goroutines wait, each with the memory of its host.

Change: such a host has an idle time of one second. Its connection is never idle, so nothing else depends on that time.

--- a/internal/protocol/attempt/client.go
+++ b/internal/protocol/attempt/client.go
@@ -13,8 +13,11 @@
 )
 
 const (
-	dialTimeout       = 500 * time.Millisecond
-	idleConnTimeout   = 30 * time.Second
+	dialTimeout     = 500 * time.Millisecond
+	idleConnTimeout = 30 * time.Second
+	// ownHostTimeout is how long a goroutine of the HTTP library may outlast the only
+	// connection of its host.
+	ownHostTimeout    = time.Second
 	maxConnsPerHost   = 4096
 	headerBufferBytes = 16 << 10
 	attachSendTimeout = 2 * time.Second
@@ -103,7 +106,7 @@
 // It fails with ErrNotSent if the request cannot begin to be written within
 // sendTimeout.
 func (c *Client) SendFresh(address string, req *fasthttp.Request, sendTimeout time.Duration) (*Reply, error) {
-	h := c.newHost(address)
+	h := c.newHost(address, ownHostTimeout)
 	r, err := send(h, req, sendTimeout)
 	if err != nil {
 		h.CloseIdleConnections()
@@ -152,18 +155,18 @@
 	defer c.mu.Unlock()
 	h := c.hosts[address]
 	if h == nil {
-		h = c.newHost(address)
+		h = c.newHost(address, idleConnTimeout)
 		c.hosts[address] = h
 	}
 	return h
 }
 
-func (c *Client) newHost(address string) *fasthttp.HostClient {
+func (c *Client) newHost(address string, idleTimeout time.Duration) *fasthttp.HostClient {
 	return &fasthttp.HostClient{
 		Addr:                          address,
 		Dial:                          c.dial,
 		MaxConns:                      maxConnsPerHost,
-		MaxIdleConnDuration:           idleConnTimeout,
+		MaxIdleConnDuration:           idleTimeout,
 		MaxIdemponentCallAttempts:     1,
 		RetryIfErr:                    neverRetry,
 		StreamResponseBody:            true,
