A target's answer that names no request belongs to the only one of its connection

What callers could see: the answer, or the 503, of another caller's request. A service without `echo-required` accepts answers without an id, and after one copy on a kept connection each caller may get the answer of the one before.

Cause: the agent took an answer without an id for that of the request under way, on any connection to the target. Only requests with a key had a connection of their own.

Evidence: TestRequestIsNotAnsweredByACopiedAnswer, a raw target behind entry and agent that writes one copy.

Change: without `echo-required` each request has a connection of its own. With it, the id decides, and an answer without one is refused as before. The setting is read once for a request, so that a change of it between the request and its answer has no effect.

--- a/cmd/standin/copiedanswer_test.go
+++ b/cmd/standin/copiedanswer_test.go
@@ -96,6 +96,9 @@
 		// wantOwn is how many requests get their answer.
 		wantOwn int
 	}{
+		{"answer without id", &copyingTarget{status: 200, hasBody: true}, false, 6},
+		{"refusal without id", &copyingTarget{status: 503, hasBody: true}, false, 6},
+		{"answer with id", &copyingTarget{status: 200, hasID: true, hasBody: true}, false, 6},
 		{"answer without the required id", &copyingTarget{status: 200, hasBody: true}, true, 0},
 		{"answer with the required id", &copyingTarget{status: 200, hasID: true, hasBody: true}, true, 5},
 		{"empty answer with the required id", &copyingTarget{status: 200, hasID: true}, true, 5},
--- a/internal/transport/agent/run.go
+++ b/internal/transport/agent/run.go
@@ -49,11 +49,13 @@
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	a.buildTargetRequest(req, j)
+	isEchoRequired := a.isEchoRequired()
 	send := a.client.Send
-	if j.isKeyed() {
+	if j.isKeyed() || !isEchoRequired {
 		// The target may close a pooled connection while the request is in
 		// transit, and then it is unknown whether the request ran. With a new
-		// connection, a request that was not sent is known as such.
+		// connection, a request that was not sent is known as such. An answer
+		// that names no request belongs to the only one of its connection.
 		send = a.client.SendFresh
 	}
 	// If this process was paused after the checks of tryStart, they may no longer
@@ -66,7 +68,7 @@
 		return runResult{failure: err}
 	}
 	defer func() { _ = reply.Close() }()
-	if err := a.validateHead(j, reply.Response()); err != nil {
+	if err := a.validateHead(j, reply.Response(), isEchoRequired); err != nil {
 		reply.Discard()
 		return runResult{failure: err}
 	}
@@ -89,16 +91,20 @@
 	req.URI().SetHost(a.settings.Target)
 }
 
+// isEchoRequired reports whether the target must repeat the request ID in its answers.
+func (a *Agent) isEchoRequired() bool {
+	c := a.member.Config()
+	if c == nil {
+		return false
+	}
+	s := c.Service(a.settings.Service)
+	return s != nil && s.IsEchoRequired()
+}
+
 // validateHead returns an error if the answer belongs to another request, or if a
 // truncated body could not be told from a complete one.
-func (a *Agent) validateHead(j *job, resp *fasthttp.Response) error {
+func (a *Agent) validateHead(j *job, resp *fasthttp.Response, isEchoRequired bool) error {
 	echo := string(resp.Header.Peek(attempt.RequestID))
-	isEchoRequired := false
-	if c := a.member.Config(); c != nil {
-		if s := c.Service(a.settings.Service); s != nil {
-			isEchoRequired = s.IsEchoRequired()
-		}
-	}
 	isOwn := echo == j.envelope.Attempt() || echo == "" && !isEchoRequired
 	if !a.guards.AnswerMatches(isOwn) {
 		return fmt.Errorf("%w: %q", errWrongAnswer, echo)
