A reply of an agent counts only for the attempt that it names

What could happen: an attempt counted as not run although its agent ran it, and was sent to another target; or its caller got the answer of the attempt that held another key.

Cause: the entry compared the attempt's id only in answers. A reply that refused, or that named another holder of the key, was taken for the reply to the attempt under way, on a connection that had carried others. Agents write one reply for each request, so this needs one in between, or a faulty agent; seen in no run of processes.

Change: the id is compared first, whatever the reply says. Agents name the attempt also where another one holds the key, and where the request's headers are incomplete. Each attempt has a new id and is sent once, so that a connection carries an id once.

No connection or call is added. An entry of this version takes the reply of an older agent about a held key as lost.

--- a/internal/protocol/attempt/envelope.go
+++ b/internal/protocol/attempt/envelope.go
@@ -152,9 +152,10 @@
 // Peer returns the holding agent's peer address.
 func (h Holder) Peer() string { return h.peer }
 
-// WriteHolder sets the headers of a reply that names a holder.
-func WriteHolder(to *fasthttp.ResponseHeader, h Holder) {
+// WriteHolder sets the headers of a reply to an attempt that names a holder.
+func WriteHolder(to *fasthttp.ResponseHeader, attempt string, h Holder) {
 	to.Set(HeaderOutcome, OutcomeHeld)
+	to.Set(HeaderAttempt, attempt)
 	to.Set(HeaderHolder, h.attempt)
 	to.Set(HeaderIncarnation, h.incarnation)
 	to.Set(HeaderHolderTraffic, h.traffic)
--- a/internal/transport/agent/serve.go
+++ b/internal/transport/agent/serve.go
@@ -24,7 +24,8 @@
 	}
 	env, err := attempt.ReadEnvelope(&ctx.Request.Header)
 	if err != nil {
-		a.writeRefusal(ctx, refusal.Refusal{Reason: refusal.BadRequest, Effect: refusal.NotRun, Detail: err.Error()}, 0)
+		id := string(ctx.Request.Header.Peek(attempt.HeaderAttempt))
+		a.writeRefusal(ctx, refusal.Refusal{Reason: refusal.BadRequest, Effect: refusal.NotRun, Attempt: id, Detail: err.Error()}, 0)
 		return
 	}
 	j := a.newJob(ctx, env)
@@ -75,7 +76,7 @@
 	}
 	if a.guards.MustClaim(j.isKeyed()) {
 		if holder, held := a.claim(j); held {
-			attempt.WriteHolder(&ctx.Response.Header, holder)
+			attempt.WriteHolder(&ctx.Response.Header, j.envelope.Attempt(), holder)
 			return false
 		}
 	}
--- a/internal/transport/entry/resolve.go
+++ b/internal/transport/entry/resolve.go
@@ -40,24 +40,23 @@
 // readHead handles the outcome in the head of a reply. If attach is true, another attempt
 // holds the idempotency key, and the answer has to be requested from out.source.
 func (e *Entry) readHead(c *call, t targetAttempt, reply *attempt.Reply) (out targetAttempt, attach bool) {
-	resp := reply.Response()
-	h := &resp.Header
-	switch string(h.Peek(attempt.HeaderOutcome)) {
-	case attempt.OutcomeHeld:
-		holder := attempt.ReadHolder(h)
-		_ = reply.Close()
-		t.source = origin{attemptID: holder.Attempt(), incarnation: holder.Incarnation(), trafficAddress: holder.Traffic(), peerAddress: holder.Peer()}
-		return t, true
-	case attempt.OutcomeRefused:
-		return e.readRefusal(c, t, reply), false
-	case attempt.OutcomeAnswer:
-		if e.guards.AnswerMatches(string(h.Peek(attempt.HeaderAttempt)) == t.source.attemptID) {
+	h := &reply.Response().Header
+	if e.guards.AnswerMatches(string(h.Peek(attempt.HeaderAttempt)) == t.source.attemptID) {
+		switch string(h.Peek(attempt.HeaderOutcome)) {
+		case attempt.OutcomeHeld:
+			holder := attempt.ReadHolder(h)
+			_ = reply.Close()
+			t.source = origin{attemptID: holder.Attempt(), incarnation: holder.Incarnation(), trafficAddress: holder.Traffic(), peerAddress: holder.Peer()}
+			return t, true
+		case attempt.OutcomeRefused:
+			return e.readRefusal(c, t, reply), false
+		case attempt.OutcomeAnswer:
 			t.result = answered
 			t.reply = reply
 			return t, false
 		}
 	}
-	// The answer is of another attempt, or the outcome header is missing or unknown.
+	// The reply is to another attempt, or the outcome header is missing or unknown.
 	event.AnswerMismatched.Log(e.log, "attempt", t.id)
 	reply.Discard()
 	return e.mayHaveRun(c, t, refusal.AnswerLost, "the answer belongs to another request"), false
