Each order to a rank's engine has a connection of its own

What could happen: a map counted as loaded although the engine had refused it, or had not loaded it yet, and its group could switch to it; or an order that the engine had accepted counted as refused. The users' platform had the same fault.

Cause: answers to orders name no order, and a copy of an earlier answer came where the next one on the kept connection was due. The load report shares its client with the states of ranks, which are kept: it asks for the close of its connection, but could begin on one that had carried a state.

Evidence: TestOrderIsNotAnsweredByACopiedAnswer of the package engine failed in 5 of 5 runs before, in both cases.

Change: orders and load reports have connections of their own. States of ranks keep theirs, which carry nothing else: a copy is a state that the engine was in a moment ago, and grants are made from its step upwards, so that an older one allows less.

Measured: 5 of 5 runs pass, with the race detector; TestProveOneMap passes once. An agent orders a grant at most every 10 ms, so that a rank's engine gets up to 100 connections a second; the number in use was not measured.

--- a/internal/protocol/engine/engine.go
+++ b/internal/protocol/engine/engine.go
@@ -28,9 +28,8 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + address + path)
-	req.SetConnectionClose()
 	var l Load
-	if err := client.DoTimeout(req, resp, timeout); err != nil {
+	if err := callOnce(req, resp, timeout); err != nil {
 		return l, fmt.Errorf("engine: load: %w", err)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
--- a/internal/protocol/engine/rank.go
+++ b/internal/protocol/engine/rank.go
@@ -88,7 +88,7 @@
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI("http://" + address + path)
 	req.SetBody(body)
-	if err := client.DoTimeout(req, resp, timeout); err != nil {
+	if err := callOnce(req, resp, timeout); err != nil {
 		return fmt.Errorf("engine: %s: %w", path, err)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
