Each call to the platform's object API has a connection of its own

What could happen: an order ran twice. A claim counted as written while another attempt held the key, or a record that was read was that of another key. The same holds for leases of rank groups, the instance list and the configuration.

Cause: answers of the object API name no call, and a copy of an earlier answer came where the next one on the kept connection was due. Nothing says that the platform writes answers twice, as targets do; what is between it and a process may.

Evidence: TestCallIsNotAnsweredByACopiedAnswer failed in 5 of 5 runs before, in all of its 4 cases.

Change: each call closes its connection. Reads do so too, since they decide who holds a claim.

Measured: 5 of 5 runs pass, with the race detector. A process makes one call a second for the list, one in 10 s for the configuration, and one for each order.

--- a/internal/protocol/platform/client.go
+++ b/internal/protocol/platform/client.go
@@ -227,7 +227,10 @@
 	return out, nil
 }
 
+// do makes a call on a connection of its own: answers name no call, and one to an earlier
+// call may come again.
 func (c *Client) do(req *fasthttp.Request, resp *fasthttp.Response, timeout time.Duration) error {
+	req.SetConnectionClose()
 	if err := c.http.DoTimeout(req, resp, timeout); err != nil {
 		return fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
