Targets after a restore: what a copy of the store cannot know

Cause: the first list of a store that was restored from a copy counted as complete and new. A target that was leaving or gone got requests again because the copy still listed it, one that registered after the copy got none until it wrote again, and one that came back began with a new attempt log, so that a cold target got its rate twice in a second.

Change: Fleet.Merge takes that list. It keeps targets that are missing on it until RewritePeriod is over, and withholds those that are known to be leaving, gone or in a later run until ExpiryPeriod is over. Replace and ApplyChanges within these periods follow the same rules; later ones, and all without a restore, are as before. The fleet remembers the latest 4096 removed targets with their runs.

--- a/internal/coordination/balance/fleet.go
+++ b/internal/coordination/balance/fleet.go
@@ -105,6 +105,8 @@
 	// limitVersion increases with each change of targets' limits of which other entries
 	// are told.
 	limitVersion uint64
+	restore      restore
+	departures   departures
 }
 
 // NewFleet returns a fleet without targets.
@@ -122,6 +124,8 @@
 		loanRefusals:   map[Loan]time.Time{},
 		entries:        newEntrySet("", nil, 1),
 		listGeneration: 1,
+		restore:        restore{withheld: map[string]fleet.Target{}},
+		departures:     departures{runs: map[string]departure{}},
 	}
 }
 
@@ -129,16 +133,7 @@
 func (f *Fleet) Replace(targets []fleet.Target, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	listed := map[string]bool{}
-	for _, t := range targets {
-		listed[t.ID] = true
-		f.upsert(t)
-	}
-	for id := range f.members {
-		if !listed[id] {
-			f.remove(id)
-		}
-	}
+	f.replace(targets, now)
 	f.serveQueue(now)
 }
 
@@ -147,12 +142,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, c := range changes {
-		if c.Target == nil {
-			f.remove(c.ID)
-			continue
-		}
-		f.upsert(*c.Target)
+		f.applyChange(c, now)
 	}
+	f.releaseWithheld(now)
 	f.serveQueue(now)
 }
 
@@ -171,6 +163,7 @@
 		m = nil
 	}
 	if m == nil {
+		f.departures.drop(t.ID)
 		m = &member{}
 		f.members[t.ID] = m
 		at, _ := slices.BinarySearchFunc(f.services[t.Service], t.ID, func(o *member, id string) int { return cmp.Compare(o.target.ID, id) })
@@ -207,6 +200,7 @@
 	if m == nil {
 		return
 	}
+	f.departures.add(m)
 	m.removed = true
 	m.group.targetCount--
 	delete(f.members, id)
