Data centres after a restore: out of service until the operator wrote again

Cause: a data centre that was taken out of service after the copy returned to service with the first list of the restored store, until the operator wrote again.

Change: Fleet.MergeDataCentresOut takes that list. What was out and is not on it stays out until SetDataCentresOut states it, either way, or until ExpiryPeriod is over; what the copy shows as out is out.

--- a/internal/coordination/balance/fleet.go
+++ b/internal/coordination/balance/fleet.go
@@ -152,7 +152,7 @@
 func (f *Fleet) SetDataCentresOut(dataCentres map[string]bool, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.dataCentresOut = dataCentres
+	f.setDataCentresOut(dataCentres, now)
 	f.serveQueue(now)
 }
 
--- a/internal/coordination/balance/restore.go
+++ b/internal/coordination/balance/restore.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -11,8 +12,8 @@
 	// RewritePeriod is the time after the first list of a restored store in which servers
 	// write again what the copy lacks.
 	RewritePeriod = 2 * time.Second
-	// ExpiryPeriod is the time after that list in which the store drops the registrations
-	// that no server renews.
+	// ExpiryPeriod is the time after that list in which the operator writes again, and in
+	// which the store drops the registrations that no server renews.
 	ExpiryPeriod = 4 * time.Second
 	// maxDepartures bounds the removed targets that are remembered.
 	maxDepartures = 4096
@@ -20,10 +21,14 @@
 
 // restore is what a fleet knows better than a store that was restored from a copy.
 type restore struct {
-	// targetsAt is the time of the first list of the restored store; zero if there was none.
-	targetsAt time.Time
+	// targetsAt and dataCentresAt are the times of the first lists of the restored store;
+	// zero if there was none.
+	targetsAt, dataCentresAt time.Time
 	// withheld has the targets that the store lists otherwise than they are used, by ID.
 	withheld map[string]fleet.Target
+	// dataCentresOut are the data centres that stay out of service although the store
+	// does not list them.
+	dataCentresOut map[string]bool
 }
 
 // departure is the last run of a target that was removed.
@@ -50,6 +55,19 @@
 	f.serveQueue(now)
 }
 
+// MergeDataCentresOut takes the first list of the data centres that are out of service of a
+// store that was restored from a copy. Those that were out before stay out until
+// SetDataCentresOut gives their state, or is called once ExpiryPeriod is over.
+func (f *Fleet) MergeDataCentresOut(dataCentres map[string]bool, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.restore.dataCentresAt = now
+	f.restore.dataCentresOut = maps.Clone(f.dataCentresOut)
+	maps.DeleteFunc(f.restore.dataCentresOut, func(name string, isOut bool) bool { return !isOut || dataCentres[name] })
+	f.setDataCentresOut(dataCentres, now)
+	f.serveQueue(now)
+}
+
 // isWithin reports whether a period since the first list of a restored store is not over.
 func isWithin(period time.Duration, listedAt, now time.Time) bool {
 	return !listedAt.IsZero() && now.Sub(listedAt) < period
@@ -131,6 +149,21 @@
 	clear(f.restore.withheld)
 }
 
+// setDataCentresOut sets the data centres that are out of service, with those that stay out
+// after a restore.
+func (f *Fleet) setDataCentresOut(dataCentres map[string]bool, now time.Time) {
+	kept := f.restore.dataCentresOut
+	if !isWithin(ExpiryPeriod, f.restore.dataCentresAt, now) {
+		clear(kept)
+	}
+	maps.DeleteFunc(kept, func(name string, _ bool) bool { _, isStated := dataCentres[name]; return isStated })
+	f.dataCentresOut = dataCentres
+	if len(kept) > 0 {
+		f.dataCentresOut = maps.Clone(kept)
+		maps.Copy(f.dataCentresOut, dataCentres)
+	}
+}
+
 // add remembers a target that is removed, and forgets the oldest one beyond the bound.
 func (d *departures) add(m *member) {
 	if len(d.order) >= maxDepartures {
--- a/internal/coordination/balance/restore_test.go
+++ b/internal/coordination/balance/restore_test.go
@@ -58,6 +58,10 @@
 	return func(f *Fleet, now time.Time) { f.ApplyChanges([]fleet.Change{{ID: id}}, now) }
 }
 
+func mergeOut(names ...string) func(*Fleet, time.Time) {
+	return func(f *Fleet, now time.Time) { f.MergeDataCentresOut(outOfService(names), now) }
+}
+
 func setOut(names ...string) func(*Fleet, time.Time) {
 	return func(f *Fleet, now time.Time) { f.SetDataCentresOut(outOfService(names), now) }
 }
@@ -288,6 +292,51 @@
 	})
 }
 
+// TestDataCentresStayOutAfterARestore plays a store that lacks data centres that were out
+// of service, or has some again.
+func TestDataCentresStayOutAfterARestore(t *testing.T) {
+	playRestores(t, []restorePlay{
+		{"a data centre that is out is missing until it is written again", []restoreStep{
+			{0, replace(bellA, bellB), "a b"},
+			{9000, setOut("east"), ""},
+			{10000, mergeOut(), ""},
+			{11000, setOut("west"), ""},
+			{13000, setOut("west", "east"), ""},
+			{14000, setOut("west", "east"), ""},
+			{15000, setOut("-west", "-east"), "a b"},
+		}},
+		{"a data centre that is out is missing for good", []restoreStep{
+			{0, replace(bellA, bellB), "a b"},
+			{9000, setOut("east"), ""},
+			{10000, mergeOut(), ""},
+			{12000, setOut(), ""},
+			{14000, setOut(), "a b"},
+		}},
+		{"a data centre that is out is missing, and taken back", []restoreStep{
+			{0, replace(bellA, bellB), "a b"},
+			{9000, setOut("east"), ""},
+			{10000, mergeOut(), ""},
+			{11000, setOut("east"), ""},
+			{12000, setOut("-east"), "a b"},
+			{12500, setOut(), "a b"},
+		}},
+		{"a data centre is out by the copy only", []restoreStep{
+			{0, replace(bellA, bellB), "a b"},
+			{9000, setOut("-east"), "a b"},
+			{10000, mergeOut("east"), ""},
+			{11000, setOut("-east"), "a b"},
+		}},
+		{"two restores without the data centre that is out", []restoreStep{
+			{0, replace(bellA, bellB), "a b"},
+			{9000, setOut("east"), ""},
+			{10000, mergeOut(), ""},
+			{13000, mergeOut(), ""},
+			{16000, setOut(), ""},
+			{17000, setOut(), "a b"},
+		}},
+	})
+}
+
 // TestColdTargetKeepsItsRateAcrossARestore guards against a target that is missing
 // in the copy, comes back and gets its rate a second time.
 func TestColdTargetKeepsItsRateAcrossARestore(t *testing.T) {
@@ -324,7 +373,7 @@
 		}
 		for range rapid.IntRange(1, 20).Draw(r, "calls") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(r, "pause")) * time.Millisecond)
-			switch rapid.IntRange(0, 4).Draw(r, "call") {
+			switch rapid.IntRange(0, 5).Draw(r, "call") {
 			case 0:
 				if now.Sub(restoredAt) >= ExpiryPeriod {
 					clear(left)
@@ -339,6 +388,8 @@
 			case 3:
 				removal(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(r, "id"))(f, now)
 			case 4:
+				mergeOut(rapid.SampledFrom([]string{"east", "west"}).Draw(r, "name"))(f, now)
+			case 5:
 				setOut(rapid.SampledFrom([]string{"east", "-east", "west"}).Draw(r, "name"))(f, now)
 			}
 			if now.Sub(restoredAt) >= ExpiryPeriod {
