The first list of a restored store is merged, and lists follow it

Cause: the follower replaced what the entry knew by the first list of a store that was restored from a copy.

Change: a list that is read in another generation than the one before it goes to MergeTargets or MergeOutOfService. The targets are listed again after RewritePeriod and ExpiryPeriod, the data centres after ExpiryPeriod; the watches end by then.

--- a/internal/transport/follower/follower.go
+++ b/internal/transport/follower/follower.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"bluebellcrank/internal/coordination/balance"
 	"bluebellcrank/internal/state/event"
 	"bluebellcrank/internal/state/fleet"
 	"bluebellcrank/internal/state/routing"
@@ -55,6 +56,9 @@
 	// SetOutOfService receives every data centre whose state is known; the
 	// value is true for one that is out of service.
 	SetOutOfService func(out map[string]bool, now time.Time)
+	// MergeTargets and MergeOutOfService take the first lists of a restored store.
+	MergeTargets      func(targets []fleet.Target, now time.Time)
+	MergeOutOfService func(out map[string]bool, now time.Time)
 }
 
 // Follower reads and watches the store until it is closed. It is safe for
@@ -76,6 +80,8 @@
 	targetsListed     atomic.Bool
 	evacuationsListed atomic.Bool
 	isUnreachable     atomic.Bool
+	// targetLists and evacuationLists are each used by the goroutine of that list.
+	targetLists, evacuationLists listTimes
 
 	// watchScope holds the context of the watches of targets and data centres.
 	// It is cancelled and replaced when a configuration watch fails, since the
@@ -320,10 +326,18 @@
 		return err
 	}
 	f.logInvalid(faults)
-	f.sink.ReplaceTargets(list, time.Now())
+	if now := time.Now(); f.targetLists.record(f.store.Generation(), now) {
+		f.sink.MergeTargets(list, now)
+	} else {
+		f.sink.ReplaceTargets(list, now)
+	}
 	f.targetsListed.Store(true)
 	for {
-		changes, faults, next, err := f.store.WatchTargets(ctx, revision, listWatchWait)
+		wait := f.targetLists.untilNext(time.Now(), balance.RewritePeriod, balance.ExpiryPeriod)
+		if wait == 0 {
+			return nil
+		}
+		changes, faults, next, err := f.store.WatchTargets(ctx, revision, wait)
 		if err != nil {
 			return err
 		}
@@ -351,10 +365,19 @@
 	if err != nil {
 		return err
 	}
-	f.applyEvacuations(out)
+	now, apply := time.Now(), f.sink.SetOutOfService
+	if f.evacuationLists.record(f.store.Generation(), now) {
+		apply = f.sink.MergeOutOfService
+	}
+	f.logEvacuations(out)
+	apply(out, now)
 	f.evacuationsListed.Store(true)
 	for {
-		changes, next, err := f.store.WatchEvacuations(ctx, revision, listWatchWait)
+		wait := f.evacuationLists.untilNext(time.Now(), balance.ExpiryPeriod)
+		if wait == 0 {
+			return nil
+		}
+		changes, next, err := f.store.WatchEvacuations(ctx, revision, wait)
 		if err != nil {
 			return err
 		}
@@ -370,13 +393,13 @@
 			merged[name] = isOut
 		}
 		out = merged
-		f.applyEvacuations(out)
+		f.logEvacuations(out)
+		f.sink.SetOutOfService(out, time.Now())
 	}
 }
 
-func (f *Follower) applyEvacuations(out map[string]bool) {
+func (f *Follower) logEvacuations(out map[string]bool) {
 	for name, isOut := range out {
 		event.DataCentreServiceChanged.Log(f.log, "data-centre", name, "out", isOut)
 	}
-	f.sink.SetOutOfService(out, time.Now())
 }
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -193,9 +193,11 @@
 	g.setEntries(nil, initialEntryCount)
 	g.pool = upstream.NewPool(g.metrics.connectionsOpened.Inc)
 	g.follower = follower.New(g.store, follower.Sink{
-		ReplaceTargets:  g.fleet.Replace,
-		ApplyChanges:    g.fleet.ApplyChanges,
-		SetOutOfService: g.fleet.SetDataCentresOut,
+		ReplaceTargets:    g.fleet.Replace,
+		ApplyChanges:      g.fleet.ApplyChanges,
+		SetOutOfService:   g.fleet.SetDataCentresOut,
+		MergeTargets:      g.fleet.Merge,
+		MergeOutOfService: g.fleet.MergeDataCentresOut,
 	}, g.limits, log)
 	listeners = g.guardListeners(listeners)
 	g.ready = g.newServer(g.serveReady, maxInternalHeaderBytes)
