Test on real processes that an attempt runs once beside copied refusals

Cause: the tests of copied refusals run the gateway in the test's process before one kept connection. Nothing showed on the processes of the users' platform that an order, or a stream that may not be resumed, runs at most once per attempt.

The soak's checks count runs of an attempt also where the caller got 429.

--- a/cmd/standin/crash_test.go
+++ b/cmd/standin/crash_test.go
@@ -70,7 +70,7 @@
 func newCrashRun(t *testing.T, isDeadly func(r *http.Request, body string) bool, hooks crashHooks) *crashRun {
 	c := &crashRun{soakRun: newSoakRun(t, 1, soakRevocationLimit), isDeadly: isDeadly, hooks: hooks}
 	for _, name := range c.store.Names("servers") {
-		c.store.Delete("servers", name)
+		c.unlistServer(name)
 	}
 	for n := range 8 {
 		c.addTarget([]string{"bells", "drafts"}[n%2])
@@ -100,7 +100,7 @@
 	t.target.Handler = t.serve
 	t.serveAt(l)
 	c.t.Cleanup(t.stop)
-	c.store.Put("servers", t.target.ID, map[string]any{"service": service, "address": t.address, "zone": "east", "slots": 16, "state": "serving"})
+	c.listServer(t.target.ID, service, t.address)
 	return t
 }
 
@@ -130,7 +130,7 @@
 		_ = l.Close()
 		return
 	}
-	server := &http.Server{Handler: &t.target}
+	server := standin.NewCopyingServer(&t.target, t.run.refusals.copies)
 	t.server, t.hasEnded = server, false
 	// Serve ends with the server.
 	go func() { _ = server.Serve(l) }()
@@ -164,6 +164,10 @@
 	if t.run.hooks.onArrival != nil && t.run.hooks.onArrival(t, w, r) {
 		return
 	}
+	if t.run.refusals.refuse(w) {
+		return
+	}
+	t.run.runCounts.add(r.Header.Get("Attempt-Id"))
 	if t.run.isDeadly(r, string(body)) {
 		t.run.record(&t.run.arrivals)
 		time.Sleep(20 * time.Millisecond)
@@ -223,6 +227,7 @@
 	if c.hooks.onSend != nil {
 		c.hooks.onSend(a.id, e)
 	}
+	defer func() { c.soakRun.record(a) }()
 	response, err := client.Do(request)
 	if err != nil {
 		return a
--- a/cmd/standin/soak_check_test.go
+++ b/cmd/standin/soak_check_test.go
@@ -38,10 +38,11 @@
 	}
 	for _, a := range s.attempts {
 		runCount := s.runCounts.count(a.id)
+		isRepeatable := a.streaming && !s.withoutResumption
 		switch {
-		case !a.streaming && runCount > 1:
+		case !isRepeatable && runCount > 1:
 			fail(a, "a non-idempotent request ran more than once")
-		case a.status == http.StatusServiceUnavailable && runCount > 0 && !a.streaming:
+		case a.isRefused() && runCount > 0 && !isRepeatable:
 			fail(a, "reported as not run, but ran")
 		case a.status == http.StatusOK && !a.hasSignature:
 			fail(a, "a success without a target's signature")
@@ -56,6 +57,11 @@
 	return violations
 }
 
+// isRefused reports whether the reply says that the request did not run.
+func (a soakAttempt) isRefused() bool {
+	return a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests
+}
+
 // isExpectedStream reports whether a body holds all events in order or, if it is
 // not complete, the beginning of them.
 func isExpectedStream(body string, complete bool) bool {
--- a/cmd/standin/soak_targets_test.go
+++ b/cmd/standin/soak_targets_test.go
@@ -262,7 +262,7 @@
 		}
 		s.addTarget(old.service)
 		time.Sleep(2 * drainPeriod)
-		s.store.Delete("servers", old.target.ID)
+		s.unlistServer(old.target.ID)
 		old.stop()
 	}},
 	{"target names a limit", func(s *targetSoak, r *rand.Rand) {
--- a/cmd/standin/soak_test.go
+++ b/cmd/standin/soak_test.go
@@ -119,6 +119,8 @@
 	runCounts    runCounter
 	entries      []*soakEntry
 	targetRelays []*relay
+	// refusals has targets refuse requests and write copies of refusals.
+	refusals refusals
 	// storeAnswer answers the reads of the store instead of it, if it is not nil.
 	storeAnswer atomic.Pointer[http.HandlerFunc]
 
@@ -131,6 +133,10 @@
 
 	mu      sync.Mutex
 	gapGoal time.Duration
+	// withoutResumption has streams run once at most.
+	withoutResumption bool
+	// servers are the registrations of targets.
+	servers map[string]map[string]any
 	// timeout is the timeout of the routes.
 	timeout time.Duration
 	version int
@@ -169,6 +175,8 @@
 		gracePeriod: soakGracePeriod,
 		binary:      filepath.Join(binaryDir, "bluebellcrank"),
 		runCounts:   runCounter{counts: map[string]int{}},
+		refusals:    refusals{random: rand.New(rand.NewPCG(seed, 6))},
+		servers:     map[string]map[string]any{},
 		keys:        []string{soakKey, soakRemovedKey},
 	}
 	store := httptest.NewServer(http.HandlerFunc(s.serveStore))
@@ -330,23 +338,44 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
+	s.store.Put("config", "main", s.configuration())
+}
+
+// configuration returns the current version of the configuration.
+func (s *soakRun) configuration() map[string]any {
 	route := func(name, kind, service string, targets int) map[string]any {
 		return map[string]any{
 			"name": name, "host": "guild.example", "pathPrefix": "/" + name + "/", "routeKind": kind, "service": service,
-			"maxAttempts": targets, "timeoutMs": s.timeout.Milliseconds(), "targetLatencyMs": 500, "gapAimMs": s.gapGoal.Milliseconds(), "streamResumption": kind == "streaming",
+			"maxAttempts": targets, "timeoutMs": s.timeout.Milliseconds(), "targetLatencyMs": 500, "gapAimMs": s.gapGoal.Milliseconds(), "streamResumption": kind == "streaming" && !s.withoutResumption,
 		}
 	}
 	routes := []any{route("order", "non_idempotent", "bells", 1), route("draft", "streaming", "drafts", 2)}
 	for _, name := range s.addedRoutes {
 		routes = append(routes, route(name, "idempotent", "bells", 2))
 	}
-	s.store.Put("config", "main", map[string]any{
+	return map[string]any{
 		"version":  s.version,
 		"routes":   routes,
 		"services": []any{map[string]any{"name": "bells"}, map[string]any{"name": "drafts"}},
 		"limits":   map[string]any{"idleTimeoutMs": 15000},
 		"tenants":  []any{map[string]any{"name": "guild", "apiKeys": s.keys}},
-	})
+	}
+}
+
+// listServer adds a target to the store's list of servers.
+func (s *soakRun) listServer(id, service, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.servers[id] = map[string]any{"service": service, "address": address, "zone": "east", "slots": 16, "state": "serving"}
+	s.store.Put("servers", id, s.servers[id])
+}
+
+// unlistServer removes a target from the store's list of servers.
+func (s *soakRun) unlistServer(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.servers, id)
+	s.store.Delete("servers", id)
 }
 
 // addTarget starts a target behind a relay and adds it to the store's list of
@@ -359,6 +388,9 @@
 	target := &standin.Target{ID: id}
 	target.Handler = func(w http.ResponseWriter, r *http.Request) {
 		attemptID := r.Header.Get("Attempt-Id")
+		if s.refusals.refuse(w) {
+			return
+		}
 		s.runCounts.add(attemptID)
 		if service == "drafts" {
 			standin.Events(soakEventCount, 15*time.Millisecond)(w, r)
@@ -367,13 +399,15 @@
 		time.Sleep(30 * time.Millisecond)
 		_, _ = io.WriteString(w, "struck for "+attemptID)
 	}
-	server := httptest.NewServer(target)
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = standin.NewCopyingServer(target, s.refusals.copies)
+	server.Start()
 	s.t.Cleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
 	})
 	targetRelay, address := s.relayTo(strings.TrimPrefix(server.URL, "http://"))
-	s.store.Put("servers", id, map[string]any{"service": service, "address": address, "zone": "east", "slots": 16, "state": "serving"})
+	s.listServer(id, service, address)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.targetRelays = append(s.targetRelays, targetRelay)
--- a/cmd/standin/stall_test.go
+++ b/cmd/standin/stall_test.go
@@ -100,7 +100,7 @@
 	s.writeConfiguration()
 	for _, name := range s.store.Names("servers") {
 		if strings.HasPrefix(name, "drafts") {
-			s.store.Delete("servers", name)
+			s.unlistServer(name)
 		}
 	}
 	for n := range stallGroups * stallGroupRanks {
