Soaks: connections that carry copies of refusals

Cause: no soak had refusals that come again, nor two targets at one address, so that none could find an order that runs twice for them. TestSoakTargets did not count runs.

TestSoakTargets checks as the others that an order runs at most once per attempt, and not at all where the caller got 503 or 429.

--- a/cmd/standin/soak_check_test.go
+++ b/cmd/standin/soak_check_test.go
@@ -38,12 +38,10 @@
 	}
 	for _, a := range s.attempts {
 		runCount := s.runCounts.count(a.id)
-		isRepeatable := a.streaming && !s.withoutResumption
+		repeat := s.repeatOf(a)
 		switch {
-		case !isRepeatable && runCount > 1:
-			fail(a, "a non-idempotent request ran more than once")
-		case a.isRefused() && runCount > 0 && !isRepeatable:
-			fail(a, "reported as not run, but ran")
+		case repeat != "":
+			fail(a, repeat)
 		case a.status == http.StatusOK && !a.hasSignature:
 			fail(a, "a success without a target's signature")
 		case a.status == http.StatusOK && a.complete && !a.streaming && a.body != "struck for "+a.id:
@@ -62,6 +60,33 @@
 	return a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests
 }
 
+// repeatOf says how a request that may not be repeated ran too often; it returns an empty
+// text if it did not.
+func (s *soakRun) repeatOf(a soakAttempt) string {
+	runCount := s.runCounts.count(a.id)
+	switch {
+	case a.streaming && !s.withoutResumption:
+	case runCount > 1:
+		return "a non-idempotent request ran more than once"
+	case a.isRefused() && runCount > 0:
+		return "reported as not run, but ran"
+	}
+	return ""
+}
+
+// findRepeats describes the attempts that ran too often.
+func (s *soakRun) findRepeats() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []string
+	for _, a := range s.attempts {
+		if repeat := s.repeatOf(a); repeat != "" {
+			found = append(found, fmt.Sprintf("%s (status %d, %d runs): %s", a.id, a.status, s.runCounts.count(a.id), repeat))
+		}
+	}
+	return found
+}
+
 // isExpectedStream reports whether a body holds all events in order or, if it is
 // not complete, the beginning of them.
 func isExpectedStream(body string, complete bool) bool {
--- a/cmd/standin/soak_faults_test.go
+++ b/cmd/standin/soak_faults_test.go
@@ -79,6 +79,9 @@
 	{"target added", func(s *soakRun, r *rand.Rand) { s.addTarget([]string{"bells", "drafts"}[r.IntN(2)]) }},
 	{"configuration changed", func(s *soakRun, _ *rand.Rand) { s.writeConfiguration() }},
 	{"key removed", func(s *soakRun, _ *rand.Rand) { s.removeKey() }},
+	{"refusals copied", func(s *soakRun, r *rand.Rand) {
+		s.copyRefusals(r, randomDuration(r, 500*time.Millisecond, 3*time.Second))
+	}},
 }
 
 // removeKey removes soakRemovedKey from the configuration and records when.
--- a/cmd/standin/soak_series_test.go
+++ b/cmd/standin/soak_series_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -239,6 +240,11 @@
 	})
 }}
 
+// copiedRefusals has targets copy refusals in a series.
+var copiedRefusals = seriesFault{"refusals copied", func(s *seriesSoak, r *rand.Rand) {
+	inSeries(r, func(r *rand.Rand) { s.copyRefusals(r, randomDuration(r, 50*time.Millisecond, time.Second)) })
+}}
+
 // injectFaults injects series of faults until the given time, and one series of outages
 // of the store near the beginning or the end. They overlap, also with those of their own
 // kind. The configuration changes all the while.
@@ -376,7 +382,7 @@
 func TestSoakSeries(t *testing.T) {
 	for _, seed := range seeds(1) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			s := &seriesSoak{soakRun: newSoakRun(t, seed, soakRevocationLimit), kinds: seriesFaults}
+			s := &seriesSoak{soakRun: newSoakRun(t, seed, soakRevocationLimit), kinds: append(slices.Clone(seriesFaults), copiedRefusals)}
 			until := time.Now().Add(seriesSoakPeriod)
 			var running sync.WaitGroup
 			running.Go(func() { s.runOpenConnections(until) })
--- a/cmd/standin/soak_targets_test.go
+++ b/cmd/standin/soak_targets_test.go
@@ -298,6 +298,9 @@
 		delete(s.busyFor, id)
 		s.mu.Unlock()
 	}},
+	{"refusals copied", func(s *targetSoak, r *rand.Rand) {
+		s.copyRefusals(r, randomDuration(r, 500*time.Millisecond, 3*time.Second))
+	}},
 }
 
 // injectFaults injects random faults until the given time. Faults overlap, also with
@@ -375,7 +378,8 @@
 			s.eventually("every entry is ready", s.allReady)
 			time.Sleep(drainPeriod)
 			calmServed, calmSent := s.runCallers(time.Now().Add(soakCalmPeriod), false)
-			t.Logf("seed %d: %d faults, %d of %d served, after the faults %d of %d; deadly requests at targets: %d single, %d with the part", seed, len(s.faults), served, sent, calmServed, calmSent, len(s.deadly["single"]), len(s.deadly["part"]))
+			t.Logf("seed %d: %d faults, %d of %d served, after the faults %d of %d; deadly requests at targets: %d single, %d with the part: %s", seed, len(s.faults), served, sent, calmServed, calmSent, len(s.deadly["single"]), len(s.deadly["part"]), strings.Join(s.faults, ", "))
+			s.c.Check(s.findRepeats(), qt.HasLen, 0)
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.checkPauses()
