Soaks: a store that goes back

Cause: no soak had a store that comes back from a copy some seconds old, so that nothing on real processes rested on what the store had lost.

Change: the fault "store restored" joins those of TestSoak and TestSoakTargets: after a short outage the store comes back from a copy of 0.3 to 4 s before, and up to 2 s later it has again what the operator and the targets wrote, and not what the entries wrote. TestSoakSeries has it once in each run, between changes of the configuration and of the targets, while an entry is paused, and probes routes again after the faults.

--- a/cmd/standin/soak_faults_test.go
+++ b/cmd/standin/soak_faults_test.go
@@ -82,6 +82,11 @@
 	{"refusals copied", func(s *soakRun, r *rand.Rand) {
 		s.copyRefusals(r, randomDuration(r, 500*time.Millisecond, 3*time.Second))
 	}},
+	{"store restored", func(s *soakRun, r *rand.Rand) {
+		copied := s.store.Copy()
+		time.Sleep(copyAge(r))
+		s.restoreStore(copied, r)
+	}},
 }
 
 // removeKey removes soakRemovedKey from the configuration and records when.
--- a/cmd/standin/soak_series_test.go
+++ b/cmd/standin/soak_series_test.go
@@ -37,6 +37,8 @@
 	// minProbes is how many probes of routes a run needs at least: entries are probed only
 	// while they are undisturbed.
 	minProbes = 50
+	// drillPeriod is how long before the end storeRestored begins at the latest.
+	drillPeriod = 5 * time.Second
 	// routeLifetime is the age from which the next version drops a route.
 	routeLifetime = 4 * time.Second
 )
@@ -52,8 +54,9 @@
 // use their open connections until the entry closes them.
 type seriesSoak struct {
 	*soakRun
-	// kinds are the kinds of faults that are injected.
-	kinds []seriesFault
+	// kinds are the kinds of faults that are injected, and hasDrill adds storeRestored.
+	kinds    []seriesFault
+	hasDrill bool
 	// anyFault has the times in which an entry does not run as usual, and aborts those
 	// in which it may leave requests without an answer.
 	anyFault, aborts disturbances
@@ -245,9 +248,27 @@
 	inSeries(r, func(r *rand.Rand) { s.copyRefusals(r, randomDuration(r, 50*time.Millisecond, time.Second)) })
 }}
 
+// storeRestored has the store go back, which disturbs all entries, between changes of the
+// configuration and of the targets. A paused entry may hear of neither.
+var storeRestored = seriesFault{"store restored", func(s *seriesSoak, r *rand.Rand) {
+	copied := s.store.Copy()
+	inSeries(r, func(*rand.Rand) { s.changeConfiguration() })
+	time.Sleep(copyAge(r))
+	for _, e := range s.entries {
+		defer s.anyFault.begin(e)()
+	}
+	var pausing sync.WaitGroup
+	e, pause := s.randomVictim(r), randomDuration(r, 200*time.Millisecond, 5*time.Second)
+	pausing.Go(func() { s.pauseEntry(e, pause) })
+	s.restoreStore(copied, r)
+	s.changeConfiguration()
+	inSeries(r, func(r *rand.Rand) { s.addTarget([]string{"bells", "drafts"}[r.IntN(2)]) })
+	pausing.Wait()
+}}
+
 // injectFaults injects series of faults until the given time, and one series of outages
-// of the store near the beginning or the end. They overlap, also with those of their own
-// kind. The configuration changes all the while.
+// of the store near the beginning or the end, with storeRestored beside it. They overlap,
+// also with those of their own kind. The configuration changes all the while.
 func (s *seriesSoak) injectFaults(until time.Time) {
 	var all sync.WaitGroup
 	outagesAt := time.Duration(s.random.IntN(2)) * (time.Until(until) - seriesMaxGap)
@@ -256,6 +277,13 @@
 		time.Sleep(outagesAt)
 		storeOutages.inject(s, r)
 	})
+	if s.hasDrill {
+		restoredAt, r := min(outagesAt, time.Until(until)-drillPeriod), rand.New(rand.NewPCG(s.random.Uint64(), 2))
+		all.Go(func() {
+			time.Sleep(restoredAt)
+			storeRestored.inject(s, r)
+		})
+	}
 	all.Go(func() {
 		for ; time.Now().Before(until); time.Sleep(2 * seriesMaxGap) {
 			s.changeConfiguration()
@@ -382,7 +410,7 @@
 func TestSoakSeries(t *testing.T) {
 	for _, seed := range seeds(1) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			s := &seriesSoak{soakRun: newSoakRun(t, seed, soakRevocationLimit), kinds: append(slices.Clone(seriesFaults), copiedRefusals)}
+			s := &seriesSoak{soakRun: newSoakRun(t, seed, soakRevocationLimit), kinds: append(slices.Clone(seriesFaults), copiedRefusals), hasDrill: true}
 			until := time.Now().Add(seriesSoakPeriod)
 			var running sync.WaitGroup
 			running.Go(func() { s.runOpenConnections(until) })
@@ -390,8 +418,9 @@
 			s.injectFaults(until)
 			running.Wait()
 			t.Logf("seed %d: %d series, %d versions, %d probes, %d requests on open connections: %s", seed, len(s.faults), len(s.routes), s.probes, len(s.attempts), strings.Join(s.faults, ", "))
-			s.c.Check(s.found, qt.HasLen, 0)
 			s.c.Check(s.probes >= minProbes, qt.IsTrue, qt.Commentf("%d probes", s.probes))
+			s.probeRoutes(time.Now().Add(stabilityWindow + configPropagation))
+			s.c.Check(s.found, qt.HasLen, 0)
 			s.checkAfterFaults()
 		})
 	}
--- a/cmd/standin/soak_targets_test.go
+++ b/cmd/standin/soak_targets_test.go
@@ -301,6 +301,11 @@
 	{"refusals copied", func(s *targetSoak, r *rand.Rand) {
 		s.copyRefusals(r, randomDuration(r, 500*time.Millisecond, 3*time.Second))
 	}},
+	{"store restored", func(s *targetSoak, r *rand.Rand) {
+		copied := s.store.Copy()
+		time.Sleep(copyAge(r))
+		s.restoreStore(copied, r)
+	}},
 }
 
 // injectFaults injects random faults until the given time. Faults overlap, also with
