--- a/cmd/standin/soak_faults_test.go
+++ b/cmd/standin/soak_faults_test.go
@@ -79,6 +79,14 @@
 	{"target added", func(s *soakRun, r *rand.Rand) { s.addTarget([]string{"bells", "drafts"}[r.IntN(2)]) }},
 	{"configuration changed", func(s *soakRun, _ *rand.Rand) { s.writeConfiguration() }},
 	{"key removed", func(s *soakRun, _ *rand.Rand) { s.removeKey() }},
+	{"refusals copied", func(s *soakRun, r *rand.Rand) {
+		s.copyRefusals(r, randomDuration(r, 500*time.Millisecond, 3*time.Second))
+	}},
+	{"store restored", func(s *soakRun, r *rand.Rand) {
+		copied := s.store.Copy()
+		time.Sleep(copyAge(r))
+		s.restoreStore(copied, r)
+	}},
 }
 
 // removeKey removes soakRemovedKey from the configuration and records when.
