Stand-in of the object API: copies that are restored, and the store's generation

Cause: the stand-in of the project's own object API could not lose what it had acknowledged, so that no test could show what a restored store does to documents, claims and refusals.

Change: POST /copy and POST /restore; versions are given out again, waiting watches end or go on, and Store-Generation is in all answers, errors too. A conditional write that names the generation of its read is refused in any other.

--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -56,6 +56,11 @@
 	objects map[string]*storedObject
 	version int64
 	lists   []publishedList
+	// generation counts the restores, and copy is the one that the next restore uses.
+	generation int64
+	copy       *storeCopy
+	// watches changes when all watches that wait are ended.
+	watches int
 	faults  platformFaults
 	// readCount and writeCount count the GET calls and all other calls of the object
 	// API and the instance list.
@@ -77,6 +82,14 @@
 		p.setFaults(ctx)
 		return
 	}
+	if ctx.IsPost() && path == "/copy" {
+		p.takeCopy()
+		return
+	}
+	if ctx.IsPost() && path == "/restore" {
+		p.restore(ctx)
+		return
+	}
 	if path == "/calls" {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -97,6 +110,7 @@
 	p.mu.Unlock()
 	time.Sleep(time.Duration(faults.SlowMs) * time.Millisecond)
 	if faults.Down {
+		defer p.lockFor(ctx)()
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
@@ -110,6 +124,7 @@
 	case strings.HasPrefix(path, "/objects/"):
 		p.serveObject(ctx, strings.TrimPrefix(path, "/objects/"))
 	default:
+		defer p.lockFor(ctx)()
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
 }
@@ -138,8 +153,7 @@
 // serveInstances answers with the instance list that was current ListLagMs ago. The
 // first published list is served without this delay.
 func (p *platform) serveInstances(ctx *fasthttp.RequestCtx) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.lockFor(ctx)()
 	cutoff := time.Now().Add(-time.Duration(p.faults.ListLagMs) * time.Millisecond)
 	instances := []target.Instance{}
 	for n, l := range p.lists {
@@ -159,8 +173,7 @@
 // serveKeys lists the keys of objects under a prefix.
 func (p *platform) serveKeys(ctx *fasthttp.RequestCtx) {
 	prefix := string(ctx.QueryArgs().Peek("prefix"))
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.lockFor(ctx)()
 	keys := []string{}
 	for k := range p.objects {
 		if strings.HasPrefix(k, prefix) {
@@ -180,11 +193,11 @@
 	deadline := time.Now().Add(time.Duration(wait) * time.Millisecond)
 	timer := time.AfterFunc(time.Until(deadline), p.changed.Broadcast)
 	defer timer.Stop()
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.lockFor(ctx)()
+	watches := p.watches
 	for {
 		o := p.objects[key]
-		if p.faults.Down {
+		if p.faults.Down || p.watches != watches {
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 			return
 		}
@@ -203,8 +216,7 @@
 
 // serveObject reads, conditionally writes or conditionally deletes an object.
 func (p *platform) serveObject(ctx *fasthttp.RequestCtx, key string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.lockFor(ctx)()
 	o := p.objects[key]
 	if ctx.IsGet() {
 		if p.faults.StaleReads > 0 && o != nil && o.previous != nil {
@@ -214,7 +226,7 @@
 		writeObject(ctx, o)
 		return
 	}
-	if !preconditionHolds(ctx, o) {
+	if !p.isOfGeneration(ctx) || !preconditionHolds(ctx, o) {
 		ctx.SetStatusCode(fasthttp.StatusPreconditionFailed)
 		return
 	}
