Positions in the object API have a generation: a watch misses no change after a restore

Cause: the watch of the configuration's head kept the highest version that it had seen. A store that is restored from a copy goes back and gives out versions again, so the watch waited for versions that had passed, until its time was over: a confirmed change was not in force in time.

Change: a position is the store's generation and a version, and an answer of an earlier generation than the newest is dropped, whatever its status. A watch ends as soon as any call finds another generation, and starts anew. A conditional write names the generation of its read; the platform refuses it in any other, and so does the client. Claims, the head and leases use it.

--- a/internal/protocol/platform/client.go
+++ b/internal/protocol/platform/client.go
@@ -25,6 +25,9 @@
 	ErrUnchanged = errors.New("platform: not changed")
 	// ErrUnavailable reports that the call failed and may still have taken effect.
 	ErrUnavailable = errors.New("platform: unavailable")
+	// ErrRestored reports that the store was restored from a copy since the object was
+	// read: its versions go back and are given out again.
+	ErrRestored = fmt.Errorf("%w: the store was restored from a copy since the object was read", ErrConflict)
 )
 
 const (
@@ -37,18 +40,11 @@
 	pathInstances      = "/instances"
 )
 
-// Version is an object's version, assigned by the platform. It is also used as the
-// fencing number of a lease.
-type Version int64
-
-// Absent is the version of an object that does not exist.
-const Absent Version = 0
-
-// Object is a stored value with its key and version.
+// Object is a stored value with its key and position.
 type Object struct {
-	Key     string
-	Value   []byte
-	Version Version
+	Key      string
+	Value    []byte
+	Position Position
 }
 
 // Client calls the platform. It is safe for concurrent use.
@@ -56,6 +52,7 @@
 	baseURL string
 	timeout time.Duration
 	http    *fasthttp.Client
+	newest  *generation
 }
 
 // NewClient returns a client for a base URL such as http://10.0.0.1:80. The timeout
@@ -64,6 +61,7 @@
 	return &Client{
 		baseURL: baseURL,
 		timeout: timeout,
+		newest:  newGeneration(),
 		http: &fasthttp.Client{
 			MaxConnsPerHost:           maxConnsPerHost,
 			MaxIdemponentCallAttempts: 1,
@@ -82,12 +80,42 @@
 }
 
 // Watch waits until the object's version is greater than after, at most for the
-// time wait, and returns the object in its state at that time.
-func (c *Client) Watch(key string, after Version, wait time.Duration) (Object, error) {
-	query := fmt.Sprintf("?after=%d&wait-ms=%d", after, wait.Milliseconds())
-	return c.read(pathWatch+key+query, key, wait+watchTimeoutMargin)
+// time wait, and returns the object in its state at that time. A position of an earlier
+// generation of the store counts as none. Watch returns ErrRestored as soon as any call
+// of the client finds that the store was restored.
+func (c *Client) Watch(key string, after Position, wait time.Duration) (Object, error) {
+	current, changed := c.newest.get()
+	version := after.Version
+	if after.Generation != current {
+		version = 0
+	}
+	query := fmt.Sprintf("?after=%d&wait-ms=%d", version, wait.Milliseconds())
+	type result struct {
+		object Object
+		err    error
+	}
+	done := make(chan result, 1)
+	go func() {
+		o, err := c.read(pathWatch+key+query, key, wait+watchTimeoutMargin)
+		done <- result{o, err}
+	}()
+	select {
+	case r := <-done:
+		return r.object, r.err
+	case <-changed:
+		if current != anyGeneration {
+			return Object{}, ErrRestored
+		}
+		r := <-done
+		return r.object, r.err
+	}
 }
 
+// Generation returns the store's newest generation that an answer had, and a channel that
+// is closed once there is a newer one. It is negative while no answer had any, and 0
+// before the store is restored for the first time.
+func (c *Client) Generation() (int64, <-chan struct{}) { return c.newest.get() }
+
 func (c *Client) read(path, key string, timeout time.Duration) (Object, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -96,18 +124,19 @@
 	if err := c.do(req, resp, timeout); err != nil {
 		return Object{}, err
 	}
-	v, err := responseVersion(resp)
+	p, err := responsePosition(resp)
 	if err != nil {
 		return Object{}, err
 	}
-	return Object{Key: key, Value: append([]byte(nil), resp.Body()...), Version: v}, nil
+	return Object{Key: key, Value: append([]byte(nil), resp.Body()...), Position: p}, nil
 }
 
-// Put writes an object if it still has the expected version (Absent if the object
-// must not exist yet) and returns the new version.
-func (c *Client) Put(key string, value []byte, expected Version) (Version, error) {
+// Put writes an object if it is still at the expected position (Absent if the object
+// must not exist yet) and returns the new position. It returns ErrRestored if the
+// position is one of an earlier generation of the store.
+func (c *Client) Put(key string, value []byte, expected Position) (Position, error) {
 	if len(value) > maxValueBytes {
-		return 0, fmt.Errorf("platform: value of %s has %d bytes, more than the limit of %d", key, len(value), maxValueBytes)
+		return Position{}, fmt.Errorf("platform: value of %s has %d bytes, more than the limit of %d", key, len(value), maxValueBytes)
 	}
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -116,18 +145,28 @@
 	req.SetRequestURI(c.baseURL + pathObjects + key)
 	setPrecondition(req, expected)
 	req.SetBody(value)
-	if err := c.do(req, resp, c.timeout); err != nil {
-		return 0, err
+	if current, _ := c.newest.get(); expected.isBefore(current) {
+		return Position{}, ErrRestored
+	}
+	err := c.do(req, resp, c.timeout)
+	if errors.Is(err, ErrConflict) && expected.isBefore(responseGeneration(resp)) {
+		return Position{}, ErrRestored
+	}
+	if err != nil {
+		return Position{}, err
 	}
-	return responseVersion(resp)
+	return responsePosition(resp)
 }
 
-func setPrecondition(req *fasthttp.Request, expected Version) {
-	if expected == Absent {
+func setPrecondition(req *fasthttp.Request, expected Position) {
+	if expected.Generation != anyGeneration {
+		req.Header.Set(generationHeader, strconv.FormatInt(expected.Generation, 10))
+	}
+	if expected.Version == 0 {
 		req.Header.Set("If-None-Match", "*")
 		return
 	}
-	req.Header.Set("If-Match", strconv.Quote(strconv.FormatInt(int64(expected), 10)))
+	req.Header.Set("If-Match", strconv.Quote(strconv.FormatInt(int64(expected.Version), 10)))
 }
 
 // List returns the keys with a prefix, sorted.
@@ -231,6 +270,9 @@
 	if err := c.http.DoTimeout(req, resp, timeout); err != nil {
 		return fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
+	if g := responseGeneration(resp); !c.newest.record(g) {
+		return fmt.Errorf("%w: answer of generation %d of the store, which has been restored since", ErrUnavailable, g)
+	}
 	switch resp.StatusCode() {
 	case fasthttp.StatusOK:
 		return nil
@@ -244,14 +286,14 @@
 	return fmt.Errorf("%w: status %d", ErrUnavailable, resp.StatusCode())
 }
 
-func responseVersion(resp *fasthttp.Response) (Version, error) {
+func responsePosition(resp *fasthttp.Response) (Position, error) {
 	s, err := strconv.Unquote(string(resp.Header.Peek(etagHeader)))
 	if err != nil {
-		return 0, fmt.Errorf("%w: response has no valid version", ErrUnavailable)
+		return Position{}, fmt.Errorf("%w: response has no valid version", ErrUnavailable)
 	}
 	v, err := strconv.ParseInt(s, 10, 64)
 	if err != nil {
-		return 0, fmt.Errorf("%w: response has invalid version %q", ErrUnavailable, s)
+		return Position{}, fmt.Errorf("%w: response has invalid version %q", ErrUnavailable, s)
 	}
-	return Version(v), nil
+	return Position{Generation: responseGeneration(resp), Version: Version(v)}, nil
 }
--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -67,6 +67,7 @@
 	EntryRemoved             = declare(1211, hclog.Warn, "entry no longer responds: removed from the list of entries")
 	StoreReadsRelayed        = declare(1212, hclog.Warn, "reads of the store relayed through other entries, or direct again")
 	EntryInvalid             = declare(1213, hclog.Warn, "list of entries contains an invalid entry")
+	ObjectsRestored          = declare(1218, hclog.Warn, "platform's objects restored from a copy: what was written since may be gone")
 	RequestEnded             = declare(2101, hclog.Info, "request ended")
 	SlowClientsClosed        = declare(2103, hclog.Info, "connections closed: request headers incomplete after the time limit")
 	Quarantined              = declare(2104, hclog.Warn, "quarantined: a request, or a part of prompts, crashes its targets")
--- a/internal/transport/agent/claim.go
+++ b/internal/transport/agent/claim.go
@@ -74,16 +74,18 @@
 func (a *Agent) driveClaim(c *claim.Claim, j *job) claim.Action {
 	key := claim.Key(j.envelope.Service(), j.envelope.Account(), j.envelope.Key())
 	action := c.Start(time.Now())
+	var found platform.Position
 	for {
 		switch action {
 		case claim.Create:
 			action = c.HandleWrite(a.writeRecord(key, c.Own(), platform.Absent), time.Now())
 		case claim.TakeOver:
-			action = c.HandleWrite(a.writeRecord(key, c.Own(), platform.Version(c.Version())), time.Now())
+			action = c.HandleWrite(a.writeRecord(key, c.Own(), found), time.Now())
 		case claim.Read:
 			time.Sleep(claimReadDelay)
-			r, v, o := a.readRecord(key)
-			action = c.HandleRead(r, v, o, time.Now())
+			r, p, o := a.readRecord(key)
+			found = p
+			action = c.HandleRead(r, int64(p.Version), o, time.Now())
 		case claim.AskHolder:
 			action = c.HandleHolderState(a.queryHolder(c.Found()), time.Now())
 		default:
@@ -92,24 +94,24 @@
 	}
 }
 
-// writeRecord stores a claim record in the platform if the stored one has version v.
-func (a *Agent) writeRecord(key string, r claim.Record, v platform.Version) claim.Outcome {
+// writeRecord stores a claim record in the platform if the stored one is at position p.
+func (a *Agent) writeRecord(key string, r claim.Record, p platform.Position) claim.Outcome {
 	value, err := json.Marshal(r)
 	if err != nil {
 		panic(err)
 	}
-	_, err = a.member.Platform().Put(key, value, v)
+	_, err = a.member.Platform().Put(key, value, p)
 	return outcomeOf(err)
 }
 
-// readRecord returns a claim record from the platform, with its version.
-func (a *Agent) readRecord(key string) (claim.Record, int64, claim.Outcome) {
+// readRecord returns a claim record from the platform, with its position.
+func (a *Agent) readRecord(key string) (claim.Record, platform.Position, claim.Outcome) {
 	var r claim.Record
 	object, err := a.member.Platform().Get(key)
 	if err == nil {
 		err = json.Unmarshal(object.Value, &r)
 	}
-	return r, int64(object.Version), outcomeOf(err)
+	return r, object.Position, outcomeOf(err)
 }
 
 func outcomeOf(err error) claim.Outcome {
@@ -163,15 +165,17 @@
 func (a *Agent) abandon(key string, b *claim.Abandonment) {
 	delay := minAbandonDelay
 	action := b.Start()
+	var found platform.Position
 	for !a.isStopped() {
 		switch action {
 		case claim.AbandonCreate:
 			action = b.HandleWrite(a.writeRecord(key, b.Own(), platform.Absent))
 		case claim.AbandonRead:
-			r, v, o := a.readRecord(key)
-			action = b.HandleRead(r, v, o)
+			r, p, o := a.readRecord(key)
+			found = p
+			action = b.HandleRead(r, int64(p.Version), o)
 		case claim.AbandonWrite:
-			action = b.HandleWrite(a.writeRecord(key, b.Own(), platform.Version(b.Version())))
+			action = b.HandleWrite(a.writeRecord(key, b.Own(), found))
 		case claim.AbandonDone:
 			event.ClaimAbandoned.Log(a.log, "attempt", b.Own().Attempt)
 			return
--- a/internal/transport/member/config.go
+++ b/internal/transport/member/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
@@ -34,19 +35,24 @@
 // while this process has a configuration and is not one of its data centre's watchers,
 // the few processes that read from the platform for the others.
 func (m *Member) watch() {
-	var version platform.Version
+	var position platform.Position
 	for !m.isStopped() {
 		if m.Revision() > 0 && !revision.IsWatcher(m.settings.Instance, m.settings.DataCentre, m.Instances()) {
 			m.wait(watchRetryDelay)
 			continue
 		}
 		requestedAt := time.Now()
-		o, err := m.platform.Watch(HeadKey, version, m.settings.WatchTimeout)
+		o, err := m.platform.Watch(HeadKey, position, m.settings.WatchTimeout)
+		if errors.Is(err, platform.ErrRestored) {
+			continue
+		}
 		if err != nil {
 			m.wait(watchRetryDelay)
 			continue
 		}
-		version = max(version, o.Version)
+		if o.Position.After(position) {
+			position = o.Position
+		}
 		if m.adoptObject(o) == nil {
 			m.loop.Post(func(time.Time) { m.isolation.RecordContact(requestedAt) })
 		}
--- a/internal/transport/member/member.go
+++ b/internal/transport/member/member.go
@@ -163,6 +163,7 @@
 	m.server = peer.Serve(m.listener, m.mux, m.pool.Bytes())
 	m.startWorker(func() { process.Every(m.settings.ListInterval, m.stop, m.refreshList) })
 	m.startWorker(m.watch)
+	m.startWorker(m.watchGenerations)
 	m.startWorker(func() { process.Every(m.settings.ExchangeInterval, m.stop, m.exchangeWithRandomPeer) })
 	m.startWorker(func() { process.Every(m.settings.ExchangeInterval, m.stop, m.exchangeWithRemotePeer) })
 	m.startWorker(func() { process.Every(m.settings.RefusalInterval, m.stop, m.saveRefusals) })
--- a/internal/transport/operator/push.go
+++ b/internal/transport/operator/push.go
@@ -105,7 +105,7 @@
 // pushOnce makes one attempt of a push. It fails with platform.ErrConflict if another
 // operator's push came first.
 func pushOnce(client *platform.Client, base config.Head, local []config.File, changeID string) (PushResult, error) {
-	head, version, err := ReadHead(client)
+	head, position, err := ReadHead(client)
 	if err != nil {
 		return PushResult{}, err
 	}
@@ -126,27 +126,27 @@
 	if err := upload(client, files); err != nil {
 		return PushResult{}, err
 	}
-	if err := updateHead(client, next, version); err != nil {
+	if err := updateHead(client, next, position); err != nil {
 		return PushResult{}, err
 	}
 	return PushResult{head: next, rebased: rebased}, nil
 }
 
-// ReadHead returns the head and its version. Before the first push it returns an
+// ReadHead returns the head and its position. Before the first push it returns an
 // empty head and platform.Absent.
-func ReadHead(client *platform.Client) (config.Head, platform.Version, error) {
+func ReadHead(client *platform.Client) (config.Head, platform.Position, error) {
 	object, err := client.Get(member.HeadKey)
 	if errors.Is(err, platform.ErrNotFound) {
 		return config.Head{}, platform.Absent, nil
 	}
 	if err != nil {
-		return config.Head{}, 0, err
+		return config.Head{}, platform.Position{}, err
 	}
 	var head config.Head
 	if err := json.Unmarshal(object.Value, &head); err != nil {
-		return head, 0, fmt.Errorf("head object: %w", err)
+		return head, platform.Position{}, fmt.Errorf("head object: %w", err)
 	}
-	return head, object.Version, nil
+	return head, object.Position, nil
 }
 
 // mergeFiles merges the files of a folder with the changes that other operators have
@@ -217,31 +217,31 @@
 	return nil
 }
 
-// updateHead writes the head if its version has not changed. If the platform's reply
+// updateHead writes the head if its position has not changed. If the platform's reply
 // is lost, updateHead reads the head to determine whether the write succeeded.
-func updateHead(client *platform.Client, next config.Head, version platform.Version) error {
+func updateHead(client *platform.Client, next config.Head, position platform.Position) error {
 	value, err := json.Marshal(next)
 	if err != nil {
 		return err
 	}
-	_, err = client.Put(member.HeadKey, value, version)
+	_, err = client.Put(member.HeadKey, value, position)
 	if !errors.Is(err, platform.ErrUnavailable) {
 		return err
 	}
 	for n := 0; n < maxReadBacks; n++ {
 		time.Sleep(readBackInterval)
-		head, currentVersion, err := ReadHead(client)
+		head, current, err := ReadHead(client)
 		switch {
 		case err != nil:
 			continue
 		case head.HasChange(next.ChangeID):
 			return nil
-		case currentVersion != version:
+		case current != position:
 			return platform.ErrConflict
 		}
 		// The first write may still be in flight. Write again under the same
 		// condition: only one of the two writes can succeed.
-		if _, err := client.Put(member.HeadKey, value, version); err == nil {
+		if _, err := client.Put(member.HeadKey, value, position); err == nil {
 			return nil
 		}
 	}
--- a/internal/transport/rankgroup/coordinator.go
+++ b/internal/transport/rankgroup/coordinator.go
@@ -68,20 +68,20 @@
 // coordinator competes for the group's lease and, while it holds it, coordinates map
 // changes. All its state belongs to the goroutine of run.
 type coordinator struct {
-	group           *Group
-	holdsLease      bool
-	leaseVersion    platform.Version // after the last renewal
-	seenVersion     platform.Version // of a lease held by another agent
-	seenSince       time.Time
-	checkedAt       time.Time
-	switcher        *switchover.Coordinator
-	acquiredVersion platform.Version // leaseVersion at acquisition
-	proposals       int64
-	abortStartedAt  time.Time
-	decidedAt       time.Time
-	rankStates      []engine.RankState
-	currentMap      *expert.Map
-	nextMap         *expert.Map
+	group          *Group
+	holdsLease     bool
+	leasePosition  platform.Position // after the last renewal
+	seenPosition   platform.Position // of a lease held by another agent
+	seenSince      time.Time
+	checkedAt      time.Time
+	switcher       *switchover.Coordinator
+	fence          int64 // of the lease at acquisition
+	proposals      int64
+	abortStartedAt time.Time
+	decidedAt      time.Time
+	rankStates     []engine.RankState
+	currentMap     *expert.Map
+	nextMap        *expert.Map
 }
 
 func newCoordinator(g *Group) *coordinator {
@@ -117,46 +117,46 @@
 	case errors.Is(err, platform.ErrNotFound):
 		c.acquireLease(platform.Absent)
 	case err != nil:
-	case o.Version != c.seenVersion:
-		c.seenVersion, c.seenSince = o.Version, now
+	case o.Position != c.seenPosition:
+		c.seenPosition, c.seenSince = o.Position, now
 	case now.Sub(c.seenSince) > c.group.settings.LeasePeriod+time.Duration(c.group.settings.Rank)*leaseStaggerDelay:
-		c.acquireLease(o.Version)
+		c.acquireLease(o.Position)
 	}
 }
 
-// writeLease writes the lease if its version is still the expected one.
-func (c *coordinator) writeLease(expected platform.Version) (platform.Version, error) {
+// writeLease writes the lease if it is still at the expected position.
+func (c *coordinator) writeLease(expected platform.Position) (platform.Position, error) {
 	value, err := json.Marshal(lease{Agent: c.group.member.Instance(), Incarnation: c.group.member.Incarnation()})
 	if err != nil {
-		return 0, err
+		return platform.Position{}, err
 	}
 	return c.group.member.Platform().Put(c.leaseObjectKey(), value, expected)
 }
 
 // acquireLease tries to become the holder, and starts a new coordinator on success.
-func (c *coordinator) acquireLease(expected platform.Version) {
-	v, err := c.writeLease(expected)
+func (c *coordinator) acquireLease(expected platform.Position) {
+	p, err := c.writeLease(expected)
 	if err != nil {
 		return
 	}
-	c.holdsLease, c.leaseVersion = true, v
-	c.acquiredVersion, c.proposals = v, 0
-	c.switcher = switchover.NewCoordinator(int64(v), c.group.settings.Ranks)
+	c.holdsLease, c.leasePosition = true, p
+	c.fence, c.proposals = int64(p.Version), 0
+	c.switcher = switchover.NewCoordinator(c.fence, c.group.settings.Ranks)
 	c.currentMap, c.nextMap = nil, nil
-	event.LeaseAcquired.Log(c.group.log, "group", c.group.settings.Group, "fence", v)
+	event.LeaseAcquired.Log(c.group.log, "group", c.group.settings.Group, "fence", c.fence)
 }
 
 // renewLease renews the lease. It gives up the lease only on a version conflict:
 // another agent wrote it, or an earlier renewal took effect without a response.
 func (c *coordinator) renewLease(now time.Time) {
-	v, err := c.writeLease(c.leaseVersion)
+	p, err := c.writeLease(c.leasePosition)
 	switch {
 	case errors.Is(err, platform.ErrConflict):
 		c.holdsLease = false
-		c.seenVersion, c.seenSince = 0, now
+		c.seenPosition, c.seenSince = platform.Position{}, now
 		event.LeaseLost.Log(c.group.log, "group", c.group.settings.Group)
 	case err == nil:
-		c.leaseVersion = v
+		c.leasePosition = p
 	}
 }
 
@@ -224,7 +224,7 @@
 		return
 	}
 	c.proposals++
-	next := improved.WithVersion(int64(c.acquiredVersion)*versionsPerLease + c.proposals)
+	next := improved.WithVersion(c.fence*versionsPerLease + c.proposals)
 	if err := c.storeMap(next); err != nil {
 		return
 	}
