A push or pull from a base that the store has lost fails with a clear error

Cause: a folder's base is a revision, and a store that was restored from a copy gives revisions out again. A push whose base was lost merged the folder with another history under the same revision: the operator's lost change counted as removed by others, and the next pull removed its file from the folder as well.

Change: a folder's base has the generation of the store in which it was read. If the store is of a later one and its head does not contain the base's change, push and pull fail with an error that names the revision and the change, after the usual attempts, and write nothing. The first push names its generation, too.

Measured: TestPushAfterARestoreLosesNoChange failed before: the push was accepted as revision 3 without 20.yaml, the only accepted change of revision 2, and the pull deleted the folder's copy. Now both fail, the file stays, and a push from a fresh folder is accepted. TestOperatorsWithOneFile and TestPushDuringAnOutage pass.

--- a/internal/protocol/platform/client.go
+++ b/internal/protocol/platform/client.go
@@ -74,7 +74,7 @@
 // neverRetry prevents the HTTP library from sending a request twice.
 func neverRetry(*fasthttp.Request, int, error) (bool, bool) { return false, false }
 
-// Get reads an object.
+// Get reads an object. With ErrNotFound, it returns the position of the missing object.
 func (c *Client) Get(key string) (Object, error) {
 	return c.read(pathObjects+key, key, c.timeout)
 }
@@ -121,7 +121,11 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI(c.baseURL + path)
-	if err := c.do(req, resp, timeout); err != nil {
+	err := c.do(req, resp, timeout)
+	if errors.Is(err, ErrNotFound) {
+		return Object{Key: key, Position: Position{Generation: responseGeneration(resp)}}, err
+	}
+	if err != nil {
 		return Object{}, err
 	}
 	p, err := responsePosition(resp)
--- a/internal/transport/operator/base.go
+++ b/internal/transport/operator/base.go
@@ -24,17 +24,32 @@
 	fileMode   = 0o644
 )
 
-// readBase returns the recorded base of a folder, or an empty head if the folder has
+// folderBase is a head with the generation of the store in which it was read.
+type folderBase struct {
+	config.Head
+	Generation int64 `json:"store-generation"`
+}
+
+// checkIn returns a RestoredError if the store was restored since the base was read, and
+// the current head does not continue the base.
+func (b folderBase) checkIn(head config.Head, at platform.Position) error {
+	if at.Generation <= b.Generation || b.Revision == 0 || head.HasChange(b.ChangeID) {
+		return nil
+	}
+	return &RestoredError{revision: b.Revision, changeID: b.ChangeID}
+}
+
+// readBase returns the recorded base of a folder, or an empty one if the folder has
 // none.
-func readBase(folder string) (config.Head, error) {
+func readBase(folder string) (folderBase, error) {
 	content, err := os.ReadFile(filepath.Join(folder, baseFile))
 	if errors.Is(err, os.ErrNotExist) {
-		return config.Head{}, nil
+		return folderBase{}, nil
 	}
 	if err != nil {
-		return config.Head{}, err
+		return folderBase{}, err
 	}
-	var base config.Head
+	var base folderBase
 	if err := json.Unmarshal(content, &base); err != nil {
 		return base, fmt.Errorf("%s: %w", baseFile, err)
 	}
@@ -44,8 +59,8 @@
 // writeBase records the base of each file in a folder: the file's entry in head if
 // the folder has the same content, otherwise its entry in the old base. A file that
 // other operators changed therefore keeps its old base until the next pull.
-func writeBase(folder string, old, head config.Head, local []config.File) error {
-	base := config.Head{Revision: head.Revision, ChangeID: head.ChangeID}
+func writeBase(folder string, old config.Head, head folderBase, local []config.File) error {
+	base := folderBase{Head: config.Head{Revision: head.Revision, ChangeID: head.ChangeID}, Generation: head.Generation}
 	for _, f := range local {
 		ref, hasRef := head.FindFile(f.Name)
 		if !hasRef || ref.Digest != f.Digest() {
@@ -63,9 +78,10 @@
 }
 
 // Pull writes the current configuration into a folder. It fails with a ConflictError
-// if it would overwrite a file that was edited since the last pull or push.
+// if it would overwrite a file that was edited since the last pull or push, and with a
+// RestoredError if it would remove or overwrite what the store has lost.
 func Pull(client *platform.Client, folder string) (config.Head, error) {
-	head, _, err := ReadHead(client)
+	head, position, err := ReadHead(client)
 	if err != nil {
 		return head, err
 	}
@@ -79,12 +95,15 @@
 	if err != nil {
 		return head, err
 	}
+	if err := base.checkIn(head, position); err != nil {
+		return head, err
+	}
 	files, err := readFiles(client, head)
 	if err != nil {
 		return head, err
 	}
 	for n, f := range files {
-		if err := checkConflict(folder, base, f, head.Files[n]); err != nil {
+		if err := checkConflict(folder, base.Head, f, head.Files[n]); err != nil {
 			return head, err
 		}
 	}
@@ -93,10 +112,10 @@
 			return head, err
 		}
 	}
-	if err := removeDeletedFiles(folder, base, head); err != nil {
+	if err := removeDeletedFiles(folder, base.Head, head); err != nil {
 		return head, err
 	}
-	return head, writeBase(folder, config.Head{}, head, files)
+	return head, writeBase(folder, config.Head{}, folderBase{Head: head, Generation: position.Generation}, files)
 }
 
 // readFiles reads the files of a head, in the head's order.
--- a/internal/transport/operator/push.go
+++ b/internal/transport/operator/push.go
@@ -50,9 +50,25 @@
 	return fmt.Sprintf("%s was edited in the folder since revision %d, and its last pushed change is in revision %d: move the folder's copy away, pull, then edit the file again", e.file, e.baseRevision, e.headRevision)
 }
 
+// RestoredError reports that the store was restored from a copy and no longer has the
+// revision from which a folder was edited.
+type RestoredError struct {
+	revision int64
+	changeID string
+}
+
+// Error implements error.
+func (e *RestoredError) Error() string {
+	return fmt.Sprintf("the platform's store was restored from a copy and has lost revision %d (change %s), from which this folder was edited: pull into another folder, copy the changes that it lacks there and push it", e.revision, e.changeID)
+}
+
+// Unwrap returns platform.ErrRestored.
+func (e *RestoredError) Unwrap() error { return platform.ErrRestored }
+
 // PushResult describes an accepted push.
 type PushResult struct {
 	head        config.Head
+	generation  int64
 	rebased     []string
 	isUnchanged bool
 }
@@ -88,7 +104,7 @@
 	for n := 0; n < maxPushAttempts; n++ {
 		result, err := pushOnce(client, base, local, changeID)
 		if err == nil {
-			return result, writeBase(folder, base, result.head, local)
+			return result, writeBase(folder, base.Head, folderBase{Head: result.head, Generation: result.generation}, local)
 		}
 		if !errors.Is(err, platform.ErrConflict) {
 			return result, err
@@ -96,29 +112,32 @@
 		lastErr = err
 		time.Sleep(rand.N(maxPushRetryDelay))
 	}
-	if errors.Is(lastErr, errPlatformStale) {
-		return PushResult{}, errPlatformStale
+	if errors.Is(lastErr, errPlatformStale) || errors.Is(lastErr, platform.ErrRestored) {
+		return PushResult{}, lastErr
 	}
 	return PushResult{}, ErrConcurrentPushes
 }
 
 // pushOnce makes one attempt of a push. It fails with platform.ErrConflict if another
 // operator's push came first.
-func pushOnce(client *platform.Client, base config.Head, local []config.File, changeID string) (PushResult, error) {
+func pushOnce(client *platform.Client, base folderBase, local []config.File, changeID string) (PushResult, error) {
 	head, position, err := ReadHead(client)
 	if err != nil {
 		return PushResult{}, err
 	}
+	if err := base.checkIn(head, position); err != nil {
+		return PushResult{}, err
+	}
 	if head.Revision < base.Revision {
 		return PushResult{}, errPlatformStale
 	}
-	files, rebased, err := mergeFiles(client, base, head, local)
+	files, rebased, err := mergeFiles(client, base.Head, head, local)
 	if err != nil {
 		return PushResult{}, err
 	}
 	next := head.Next(changeID, files)
 	if sameFiles(next.Files, head.Files) {
-		return PushResult{head: head, isUnchanged: true}, nil
+		return PushResult{head: head, generation: position.Generation, isUnchanged: true}, nil
 	}
 	if _, err := config.NewBuilder().Build(next, files); err != nil {
 		return PushResult{}, fmt.Errorf("with the other operators' changes:\n%w", err)
@@ -129,15 +148,15 @@
 	if err := updateHead(client, next, position); err != nil {
 		return PushResult{}, err
 	}
-	return PushResult{head: next, rebased: rebased}, nil
+	return PushResult{head: next, generation: position.Generation, rebased: rebased}, nil
 }
 
 // ReadHead returns the head and its position. Before the first push it returns an
-// empty head and platform.Absent.
+// empty head and the position of the missing object.
 func ReadHead(client *platform.Client) (config.Head, platform.Position, error) {
 	object, err := client.Get(member.HeadKey)
 	if errors.Is(err, platform.ErrNotFound) {
-		return config.Head{}, platform.Absent, nil
+		return config.Head{}, object.Position, nil
 	}
 	if err != nil {
 		return config.Head{}, platform.Position{}, err
