A claim that the store has lost does not let a request run twice

Cause: a claim was taken as lasting once the platform had acknowledged it. A store that is restored from a copy has lost the claims of the last seconds, so that a repeat with the same key found no record, created its own and ran, at another agent or at the same.

Change: an agent keeps its claims of the last minute and writes them again when it learns of another generation of the store. Processes tell each other the generation and how long it has been known. Until five seconds after the first one has learned of it, agents refuse requests that need a claim (platform-down, not run), and a claim of an earlier generation never counts. A rewrite replaces a record only if its attempt never ran. Events 1219 and 1220; guard settled.

TestTwinThatReliesOnLostClaims, with the guard off, finds a request that ran twice in its first run. TestProveOnceTrueWhole and TestTwinWithoutClaims pass as before.

--- a/cmd/standin/restore_config_test.go
+++ b/cmd/standin/restore_config_test.go
@@ -14,9 +14,10 @@
 )
 
 // restoreFleet starts two agents and two entries in two data centres with a first
-// revision, of which the platform has a copy.
-func restoreFleet(t *testing.T) (f *fleet, folder string) {
+// revision, of which the platform has a copy. The named guard of the agents is disabled.
+func restoreFleet(t *testing.T, agentGuard string) (f *fleet, folder string) {
 	f = testFleet(t)
+	f.disabledAgentGuard = agentGuard
 	for n, centre := range []string{"east", "west"} {
 		must(t, f.addTarget(fmt.Sprintf("bells-%d", n+1), "bells", centre), f.addEntry(fmt.Sprintf("entry-%d", n+1), centre))
 	}
@@ -60,7 +61,7 @@
 	for _, tt := range []restoreOptions{{EndWatches: true}, {EndWatches: false}} {
 		t.Run(fmt.Sprintf("watches end: %t", tt.EndWatches), func(t *testing.T) {
 			c := qt.New(t)
-			f, first := restoreFleet(t)
+			f, first := restoreFleet(t, "")
 			second := copyFolder(t, f, "second")
 			const versions = 50
 			for n := range versions {
--- a/cmd/standin/twin.go
+++ b/cmd/standin/twin.go
@@ -47,6 +47,8 @@
 		g.MustClaim = alwaysFalse
 	case "blocked":
 		g.BlockedReason = neverBlocked
+	case "settled":
+		g.IsSettled = alwaysTrue
 	case "in-time":
 		g.IsInTime = alwaysTrue
 	case "limit":
--- /dev/null
+++ b/internal/coordination/claim/kept.go
@@ -0,0 +1,58 @@
+package claim
+
+import "time"
+
+const (
+	// keepPeriod is how long a record is kept. A store that is restored may lose what was
+	// written in the seconds before.
+	keepPeriod = time.Minute
+	// expireInterval is the time between two removals of older records.
+	expireInterval = time.Second
+)
+
+// Entry is a record with the name of the object that stores it.
+type Entry struct {
+	Key    string
+	Record Record
+}
+
+// Kept contains the records that an agent has written in the last minute, to write them
+// again if the platform loses them. It is not safe for concurrent use.
+type Kept struct {
+	byAttempt map[string]keptEntry
+	expiredAt time.Time
+}
+
+type keptEntry struct {
+	entry  Entry
+	keptAt time.Time
+}
+
+// NewKept returns an empty set.
+func NewKept() *Kept { return &Kept{byAttempt: map[string]keptEntry{}} }
+
+// Add keeps a record that the platform has acknowledged, and removes expired ones.
+func (k *Kept) Add(e Entry, now time.Time) {
+	k.byAttempt[e.Record.Attempt] = keptEntry{entry: e, keptAt: now}
+	if now.Sub(k.expiredAt) < expireInterval {
+		return
+	}
+	k.expiredAt = now
+	for attempt, e := range k.byAttempt {
+		if now.Sub(e.keptAt) > keepPeriod {
+			delete(k.byAttempt, attempt)
+		}
+	}
+}
+
+// Remove removes the record of an attempt that never runs.
+func (k *Kept) Remove(attempt string) { delete(k.byAttempt, attempt) }
+
+// Entries returns the records that are kept.
+func (k *Kept) Entries() []Entry {
+	out := make([]Entry, 0, len(k.byAttempt))
+	for _, e := range k.byAttempt {
+		out = append(out, e.entry)
+	}
+	return out
+}
--- a/internal/protocol/peer/message.go
+++ b/internal/protocol/peer/message.go
@@ -42,6 +42,10 @@
 	HeardMs    int64  `json:"heard-ms"`
 	ListMs     int64  `json:"list-ms"`
 	ListHash   uint64 `json:"list-hash"`
+	// Generation is that of the platform's store, and GenerationMs how long a process has
+	// known it; 0 if the store was never restored.
+	Generation   int64 `json:"generation"`
+	GenerationMs int64 `json:"generation-ms"`
 }
 
 // ListRequest requests the parts of the instance list that differ from a digest.
--- a/internal/protocol/platform/client.go
+++ b/internal/protocol/platform/client.go
@@ -116,6 +116,9 @@
 // before the store is restored for the first time.
 func (c *Client) Generation() (int64, <-chan struct{}) { return c.newest.get() }
 
+// LearnGeneration records a generation of the store that another process has seen.
+func (c *Client) LearnGeneration(generation int64) { c.newest.record(generation) }
+
 func (c *Client) read(path, key string, timeout time.Duration) (Object, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -68,6 +68,8 @@
 	StoreReadsRelayed        = declare(1212, hclog.Warn, "reads of the store relayed through other entries, or direct again")
 	EntryInvalid             = declare(1213, hclog.Warn, "list of entries contains an invalid entry")
 	ObjectsRestored          = declare(1218, hclog.Warn, "platform's objects restored from a copy: what was written since may be gone")
+	ClaimsRewritten          = declare(1219, hclog.Info, "claims written again after a restore")
+	ClaimHeldByAnother       = declare(1220, hclog.Error, "claim lost in a restore: another attempt holds its key and may have run as well")
 	RequestEnded             = declare(2101, hclog.Info, "request ended")
 	SlowClientsClosed        = declare(2103, hclog.Info, "connections closed: request headers incomplete after the time limit")
 	Quarantined              = declare(2104, hclog.Warn, "quarantined: a request, or a part of prompts, crashes its targets")
--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"bluebellcrank/internal/coordination/admission"
+	"bluebellcrank/internal/coordination/claim"
 	"bluebellcrank/internal/coordination/retry"
 	"bluebellcrank/internal/protocol/attempt"
 	"bluebellcrank/internal/state/event"
@@ -57,6 +58,7 @@
 	lastTicket        uint64
 	closedAttempts    map[string]closedAttempt
 	suspects          *retry.Suspects
+	keptClaims        *claim.Kept
 	isLeaving         bool
 	isListed          bool
 	isTargetUp        bool
@@ -88,10 +90,12 @@
 		jobsByTicket:   map[uint64]*job{},
 		closedAttempts: map[string]closedAttempt{},
 		suspects:       retry.NewSuspects(),
+		keptClaims:     claim.NewKept(),
 	}
 	options := member.NewOptions(s.Settings, target.Agent, log, l.Peer).
 		WithHooks(a.applyConfig, a.applyInstanceList).
 		WithStatusAndDump(a.status, a.dump).
+		WithRestoreHook(a.rewriteClaims).
 		WithRevisionComparison(g.IsNewer).
 		WithMethods(a.addMethods)
 	a.report.Store(&target.Report{Instance: s.Instance, Service: s.Service, DataCentre: s.DataCentre, Refusing: string(refusal.NotReady)})
--- a/internal/transport/agent/claim.go
+++ b/internal/transport/agent/claim.go
@@ -28,12 +28,20 @@
 // may run, or refuses the job. If another attempt holds the key and its answer is
 // complete or in progress, claim returns that holder and true.
 func (a *Agent) claim(j *job) (holder attempt.Holder, held bool) {
+	if !a.guards.IsSettled(a.member.IsSettled()) {
+		a.refuseClaim(j, refusal.PlatformDown, refusal.NotRun)
+		return holder, false
+	}
 	c := claim.New(a.claimRecord(j), j.deadline)
-	action := a.driveClaim(c, j)
+	action, position := a.driveClaim(c, j)
 	switch action {
 	case claim.Run:
 		j.hasClaim = true
-		if !a.guards.IsInTime(c.MayRun(time.Now())) {
+		a.keepClaim(j, c.Own())
+		if !a.guards.IsSettled(a.isInForce(position)) {
+			a.refuseClaim(j, refusal.PlatformDown, refusal.NotRun)
+			a.abandonIfClaimed(j)
+		} else if !a.guards.IsInTime(c.MayRun(time.Now())) {
 			a.refuseClaim(j, refusal.TimedOut, refusal.NotRun)
 			a.abandonIfClaimed(j)
 		}
@@ -70,38 +78,43 @@
 }
 
 // driveClaim carries out the actions of a claim until it reaches a verdict, which it
-// returns.
-func (a *Agent) driveClaim(c *claim.Claim, j *job) claim.Action {
+// returns with the position of the record that it has written or read last.
+func (a *Agent) driveClaim(c *claim.Claim, j *job) (claim.Action, platform.Position) {
 	key := claim.Key(j.envelope.Service(), j.envelope.Account(), j.envelope.Key())
 	action := c.Start(time.Now())
-	var found platform.Position
+	var position platform.Position
 	for {
 		switch action {
-		case claim.Create:
-			action = c.HandleWrite(a.writeRecord(key, c.Own(), platform.Absent), time.Now())
-		case claim.TakeOver:
-			action = c.HandleWrite(a.writeRecord(key, c.Own(), found), time.Now())
+		case claim.Create, claim.TakeOver:
+			expected := platform.Absent
+			if action == claim.TakeOver {
+				expected = position
+			}
+			p, o := a.writeRecord(key, c.Own(), expected)
+			position = p
+			action = c.HandleWrite(o, time.Now())
 		case claim.Read:
 			time.Sleep(claimReadDelay)
 			r, p, o := a.readRecord(key)
-			found = p
+			position = p
 			action = c.HandleRead(r, int64(p.Version), o, time.Now())
 		case claim.AskHolder:
 			action = c.HandleHolderState(a.queryHolder(c.Found()), time.Now())
 		default:
-			return action
+			return action, position
 		}
 	}
 }
 
-// writeRecord stores a claim record in the platform if the stored one is at position p.
-func (a *Agent) writeRecord(key string, r claim.Record, p platform.Position) claim.Outcome {
+// writeRecord stores a claim record in the platform if the stored one is at the expected
+// position, and returns the new one.
+func (a *Agent) writeRecord(key string, r claim.Record, expected platform.Position) (platform.Position, claim.Outcome) {
 	value, err := json.Marshal(r)
 	if err != nil {
 		panic(err)
 	}
-	_, err = a.member.Platform().Put(key, value, p)
-	return outcomeOf(err)
+	p, err := a.member.Platform().Put(key, value, expected)
+	return p, outcomeOf(err)
 }
 
 // readRecord returns a claim record from the platform, with its position.
@@ -158,6 +171,7 @@
 		return
 	}
 	j.hasClaim = false
+	a.member.Loop().Post(func(time.Time) { a.keptClaims.Remove(j.envelope.Attempt()) })
 	go a.abandon(claim.Key(j.envelope.Service(), j.envelope.Account(), j.envelope.Key()), claim.NewAbandonment(a.claimRecord(j)))
 }
 
@@ -169,13 +183,15 @@
 	for !a.isStopped() {
 		switch action {
 		case claim.AbandonCreate:
-			action = b.HandleWrite(a.writeRecord(key, b.Own(), platform.Absent))
+			_, o := a.writeRecord(key, b.Own(), platform.Absent)
+			action = b.HandleWrite(o)
 		case claim.AbandonRead:
 			r, p, o := a.readRecord(key)
 			found = p
 			action = b.HandleRead(r, int64(p.Version), o)
 		case claim.AbandonWrite:
-			action = b.HandleWrite(a.writeRecord(key, b.Own(), found))
+			_, o := a.writeRecord(key, b.Own(), found)
+			action = b.HandleWrite(o)
 		case claim.AbandonDone:
 			event.ClaimAbandoned.Log(a.log, "attempt", b.Own().Attempt)
 			return
--- a/internal/transport/agent/guards.go
+++ b/internal/transport/agent/guards.go
@@ -13,6 +13,9 @@
 	BlockedReason func(refusal.Reason) refusal.Reason
 	// MustClaim receives whether a request has to claim its key before it runs.
 	MustClaim func(bool) bool
+	// IsSettled receives whether claims can be relied on: the store was not restored just
+	// now, nor since a claim was acknowledged.
+	IsSettled func(bool) bool
 	// IsInTime receives whether a request is within its deadline just before it runs.
 	IsInTime func(bool) bool
 	// Limit receives the limit that the target has reached by completed work, and the
@@ -33,6 +36,7 @@
 	return Guards{
 		BlockedReason: func(r refusal.Reason) refusal.Reason { return r },
 		MustClaim:     unchanged,
+		IsSettled:     unchanged,
 		IsInTime:      unchanged,
 		Limit:         func(current, _ int) int { return current },
 		AnswerMatches: unchanged,
--- a/internal/transport/member/exchange.go
+++ b/internal/transport/member/exchange.go
@@ -59,6 +59,7 @@
 	if err != nil {
 		return
 	}
+	m.learnGeneration(reply, requestedAt)
 	m.compareLists(i, reply, requestedAt)
 	if reply.Revision > m.Revision() && m.pull(i.Peer) != nil {
 		return
@@ -88,7 +89,7 @@
 	if !list.IsZero() {
 		listMs = process.Call(m.loop, list.Age).Milliseconds()
 	}
-	return peer.Exchange{
+	e := peer.Exchange{
 		Instance:   m.settings.Instance,
 		DataCentre: m.settings.DataCentre,
 		Address:    m.address,
@@ -97,6 +98,11 @@
 		ListMs:     listMs,
 		ListHash:   list.Hash(),
 	}
+	process.Call(m.loop, func(now time.Time) struct{} {
+		e.Generation, e.GenerationMs = m.restoreClock.Generation(), m.restoreClock.Age(now).Milliseconds()
+		return struct{}{}
+	})
+	return e
 }
 
 // pull fetches the configuration of a peer and adopts it.
@@ -138,6 +144,7 @@
 }
 
 func (m *Member) handleExchange(_ context.Context, e peer.Exchange) (peer.Exchange, error) {
+	m.learnGeneration(e, time.Now())
 	if e.Revision > m.Revision() && e.Address != "" {
 		m.startWorker(func() { _ = m.pull(e.Address) })
 	}
--- a/internal/transport/member/member.go
+++ b/internal/transport/member/member.go
@@ -42,8 +42,10 @@
 	isNewer       func(current, offered int64) bool
 	onConfig      func(*config.Config)
 	onList        func([]target.Instance)
+	onRestored    func()
 
 	isolation         *revision.IsolationDetector
+	restoreClock      revision.RestoreClock
 	wasIsolated       bool
 	platformReachable bool
 	refusals          *refusal.Log
@@ -73,6 +75,7 @@
 	listener   net.Listener
 	onConfig   func(*config.Config)
 	onList     func([]target.Instance)
+	onRestored func()
 	status     func() peer.Status
 	dump       func() string
 	addMethods func(*peer.Mux)
@@ -88,6 +91,7 @@
 		listener:   l,
 		onConfig:   func(*config.Config) {},
 		onList:     func([]target.Instance) {},
+		onRestored: func() {},
 		addMethods: func(*peer.Mux) {},
 		isNewer:    IsNewer,
 		status:     func() peer.Status { return peer.Status{} },
@@ -102,6 +106,13 @@
 	return o
 }
 
+// WithRestoreHook sets the function that is called after each restore of the platform's
+// store.
+func (o Options) WithRestoreHook(onRestored func()) Options {
+	o.onRestored = onRestored
+	return o
+}
+
 // WithStatusAndDump sets the functions that return the process's status and dump.
 func (o Options) WithStatusAndDump(status func() peer.Status, dump func() string) Options {
 	o.status, o.dump = status, dump
@@ -142,6 +153,7 @@
 		isNewer:           o.isNewer,
 		onConfig:          o.onConfig,
 		onList:            o.onList,
+		onRestored:        o.onRestored,
 		isolation:         revision.NewIsolationDetector(),
 		wasIsolated:       true,
 		platformReachable: true,
