The configuration that a restored store has lost is written again

Cause: after a restore the store had an older configuration, which a process that started took as the newest, with keys that had been removed since.

Change: a watcher that holds a later revision than a restored store writes it again. Revisions begin anew, at n x 10^9, in generation n, and the first push of a generation waits three seconds for what is written again.

--- a/internal/state/config/head.go
+++ b/internal/state/config/head.go
@@ -62,6 +62,18 @@
 	}
 }
 
+// revisionsPerGeneration is the distance between the first revisions of two generations
+// of the store.
+const revisionsPerGeneration = 1_000_000_000
+
+// InGeneration returns the head with a revision that the next one in a generation of the
+// store follows. Revisions of a later generation are greater than all earlier ones, also
+// those that the store has lost.
+func (h Head) InGeneration(generation int64) Head {
+	h.Revision = max(h.Revision, generation*revisionsPerGeneration)
+	return h
+}
+
 // HasChange reports whether the change is among the recent changes of the head.
 func (h Head) HasChange(changeID string) bool { return slices.Contains(h.Recent, changeID) }
 
--- a/internal/transport/member/config.go
+++ b/internal/transport/member/config.go
@@ -46,7 +46,16 @@
 		if errors.Is(err, platform.ErrRestored) {
 			continue
 		}
-		if err != nil {
+		if err == nil || errors.Is(err, platform.ErrNotFound) {
+			if err := m.rewriteConfig(o); err != nil {
+				event.ConfigNotRewritten.Log(m.log, "revision", m.Revision(), "error", err)
+				m.wait(watchRetryDelay)
+				continue
+			}
+		}
+		// The store may have lost the newest configuration, which a process that starts
+		// gets from its peers then.
+		if err != nil || m.Revision() == 0 && !m.IsSettled() {
 			m.wait(watchRetryDelay)
 			continue
 		}
--- a/internal/transport/operator/push.go
+++ b/internal/transport/operator/push.go
@@ -24,6 +24,9 @@
 	// reply was lost.
 	maxReadBacks     = 10
 	readBackInterval = 300 * time.Millisecond
+	// rewritePeriod is how long the first push after a restore of the store waits for the
+	// processes to write again what the store has lost.
+	rewritePeriod = 3 * time.Second
 )
 
 var (
@@ -99,6 +102,9 @@
 	if err != nil {
 		return PushResult{}, err
 	}
+	if err := waitForRewrite(client); err != nil {
+		return PushResult{}, err
+	}
 	changeID := strconv.FormatUint(rand.Uint64(), 36)
 	var lastErr error
 	for n := 0; n < maxPushAttempts; n++ {
@@ -118,6 +124,15 @@
 	return PushResult{}, ErrConcurrentPushes
 }
 
+// waitForRewrite waits if no push has been accepted yet in the store's generation.
+func waitForRewrite(client *platform.Client) error {
+	head, position, err := ReadHead(client)
+	if err == nil && head.InGeneration(position.Generation).Revision > head.Revision {
+		time.Sleep(rewritePeriod)
+	}
+	return err
+}
+
 // pushOnce makes one attempt of a push. It fails with platform.ErrConflict if another
 // operator's push came first.
 func pushOnce(client *platform.Client, base folderBase, local []config.File, changeID string) (PushResult, error) {
@@ -135,7 +150,7 @@
 	if err != nil {
 		return PushResult{}, err
 	}
-	next := head.Next(changeID, files)
+	next := head.InGeneration(position.Generation).Next(changeID, files)
 	if sameFiles(next.Files, head.Files) {
 		return PushResult{head: head, generation: position.Generation, isUnchanged: true}, nil
 	}
