Refusals that a restored store has lost are written again

Cause: a process removed refusals from its log once the platform had acknowledged the write. A store that is restored from a copy no longer has those of the last seconds, so that explain and refusals did not know ids that callers had been given.

Change: the log keeps written refusals for a minute, up to its limit, and they are pending again after a restore. A write that was acknowledged in an earlier generation leaves them pending. Readers use each id once, as before.

--- a/internal/state/refusal/log.go
+++ b/internal/state/refusal/log.go
@@ -6,6 +6,10 @@
 	"github.com/samber/lo"
 )
 
+// writtenPeriod is how long written refusals are kept. A store that is restored may lose
+// what was written in the seconds before.
+const writtenPeriod = time.Minute
+
 // Log buffers the refusals that are not yet written to the platform, oldest
 // first, and counts those that were dropped because the buffer was full. It is
 // not safe for concurrent use.
@@ -13,6 +17,7 @@
 	limit   int
 	pending []Refusal
 	added   []Refusal
+	written []Refusal
 	dropped int
 	total   int
 }
@@ -47,10 +52,22 @@
 	return append([]Refusal(nil), l.pending[:n]...)
 }
 
-// RemoveWritten removes the refusals that the platform has stored.
-func (l *Log) RemoveWritten(ids []string) {
+// RemoveWritten removes the refusals that the platform has stored. Up to limit of them
+// are kept for a minute from their time on, to be restored.
+func (l *Log) RemoveWritten(ids []string, now time.Time) {
 	written := lo.SliceToMap(ids, func(id string) (string, bool) { return id, true })
-	l.pending = lo.Reject(l.pending, func(r Refusal, _ int) bool { return written[r.ID] })
+	removed, pending := lo.FilterReject(l.pending, func(r Refusal, _ int) bool { return written[r.ID] })
+	l.pending = pending
+	l.written = lo.Filter(append(l.written, removed...), func(r Refusal, _ int) bool { return now.Sub(r.Time) <= writtenPeriod })
+	l.written = l.written[max(0, len(l.written)-l.limit):]
+}
+
+// Restore makes the refusals that were written in the last minute pending again, as far
+// as the limit allows.
+func (l *Log) Restore() {
+	room := max(0, l.limit-len(l.pending))
+	l.pending = append(l.written[max(0, len(l.written)-room):], l.pending...)
+	l.written = nil
 }
 
 // Pending returns how many refusals are not yet written.
--- a/internal/transport/member/generation.go
+++ b/internal/transport/member/generation.go
@@ -23,6 +23,7 @@
 		m.loop.Post(func(now time.Time) { m.restoreClock.Record(generation, now) })
 		if before >= 0 {
 			event.ObjectsRestored.Log(m.log, "generation", generation, "before", before)
+			m.loop.Post(func(time.Time) { m.refusals.Restore() })
 			m.notifyPeers()
 			m.onRestored()
 		}
--- a/internal/transport/member/refusals.go
+++ b/internal/transport/member/refusals.go
@@ -84,12 +84,17 @@
 		return
 	}
 	m.lastSaveAt.Store(now.UnixNano())
-	ids, err := m.writeBatch(m.settings.Instance, batch, now)
+	ids, position, err := m.writeBatch(m.settings.Instance, batch, now)
 	if err != nil {
 		event.RefusalsNotWritten.Log(m.log, "count", len(batch.refusals), "error", err)
 		return
 	}
-	m.loop.Post(func(time.Time) { m.refusals.RemoveWritten(ids) })
+	m.loop.Post(func(now time.Time) {
+		// After a restore, what was written before stays pending.
+		if generation, _ := m.platform.Generation(); generation == position.Generation {
+			m.refusals.RemoveWritten(ids, now)
+		}
+	})
 	m.notifyBackupPeer(ids)
 }
 
@@ -102,9 +107,9 @@
 }
 
 // writeBatch writes a batch of an instance's refusals and returns the IDs that are
-// stored. If an earlier write under the same key succeeded but its reply was lost,
+// stored, and the position. If an earlier write under the same key succeeded but its reply was lost,
 // these are the IDs of the earlier batch.
-func (m *Member) writeBatch(instanceID string, b pendingBatch, now time.Time) ([]string, error) {
+func (m *Member) writeBatch(instanceID string, b pendingBatch, now time.Time) ([]string, platform.Position, error) {
 	value, err := json.Marshal(refusal.Batch{
 		Process:  instanceID,
 		Time:     now.UTC(),
@@ -112,26 +117,26 @@
 		Refusals: b.refusals,
 	})
 	if err != nil {
-		return nil, fmt.Errorf("member: encode refusals: %w", err)
+		return nil, platform.Position{}, fmt.Errorf("member: encode refusals: %w", err)
 	}
 	key := RefusalPrefix + now.UTC().Format(dayFormat) + "/" + b.refusals[0].ID
-	_, err = m.platform.Put(key, value, platform.Absent)
+	position, err := m.platform.Put(key, value, platform.Absent)
 	if errors.Is(err, platform.ErrConflict) {
 		return m.idsWrittenBefore(key)
 	}
-	return refusalIDs(b.refusals), err
+	return refusalIDs(b.refusals), position, err
 }
 
-func (m *Member) idsWrittenBefore(key string) ([]string, error) {
+func (m *Member) idsWrittenBefore(key string) ([]string, platform.Position, error) {
 	o, err := m.platform.Get(key)
 	if err != nil {
-		return nil, err
+		return nil, platform.Position{}, err
 	}
 	var b refusal.Batch
 	if err := json.Unmarshal(o.Value, &b); err != nil {
-		return nil, fmt.Errorf("member: refusals under %s: %w", key, err)
+		return nil, platform.Position{}, fmt.Errorf("member: refusals under %s: %w", key, err)
 	}
-	return refusalIDs(b.Refusals), nil
+	return refusalIDs(b.Refusals), o.Position, nil
 }
 
 func refusalIDs(list []refusal.Refusal) []string {
@@ -204,7 +209,7 @@
 		return lo.PickBy(m.keptForPeers, func(id string, k keptRefusals) bool { return !listed[id] || now.Sub(k.since) > peerSaveTimeout })
 	})
 	for id, kept := range due {
-		ids, err := m.writeBatch(id, pendingBatch{refusals: kept.refusals}, now)
+		ids, _, err := m.writeBatch(id, pendingBatch{refusals: kept.refusals}, now)
 		if err != nil {
 			continue
 		}
