--- a/internal/transport/operator/push.go
+++ b/internal/transport/operator/push.go
@@ -24,6 +24,9 @@
 	// reply was lost.
 	maxReadBacks     = 10
 	readBackInterval = 300 * time.Millisecond
+	// rewritePeriod is how long the first push after a restore of the store waits for the
+	// processes to write again what the store has lost.
+	rewritePeriod = 3 * time.Second
 )
 
 var (
@@ -50,9 +53,25 @@
 	return fmt.Sprintf("%s was edited in the folder since revision %d, and its last pushed change is in revision %d: move the folder's copy away, pull, then edit the file again", e.file, e.baseRevision, e.headRevision)
 }
 
+// RestoredError reports that the store was restored from a copy and no longer has the
+// revision from which a folder was edited.
+type RestoredError struct {
+	revision int64
+	changeID string
+}
+
+// Error implements error.
+func (e *RestoredError) Error() string {
+	return fmt.Sprintf("the platform's store was restored from a copy and has lost revision %d (change %s), from which this folder was edited: pull into another folder, copy the changes that it lacks there and push it", e.revision, e.changeID)
+}
+
+// Unwrap returns platform.ErrRestored.
+func (e *RestoredError) Unwrap() error { return platform.ErrRestored }
+
 // PushResult describes an accepted push.
 type PushResult struct {
 	head        config.Head
+	generation  int64
 	rebased     []string
 	isUnchanged bool
 }
@@ -83,12 +102,15 @@
 	if err != nil {
 		return PushResult{}, err
 	}
+	if err := waitForRewrite(client); err != nil {
+		return PushResult{}, err
+	}
 	changeID := strconv.FormatUint(rand.Uint64(), 36)
 	var lastErr error
 	for n := 0; n < maxPushAttempts; n++ {
 		result, err := pushOnce(client, base, local, changeID)
 		if err == nil {
-			return result, writeBase(folder, base, result.head, local)
+			return result, writeBase(folder, base.Head, folderBase{Head: result.head, Generation: result.generation}, local)
 		}
 		if !errors.Is(err, platform.ErrConflict) {
 			return result, err
@@ -96,29 +118,41 @@
 		lastErr = err
 		time.Sleep(rand.N(maxPushRetryDelay))
 	}
-	if errors.Is(lastErr, errPlatformStale) {
-		return PushResult{}, errPlatformStale
+	if errors.Is(lastErr, errPlatformStale) || errors.Is(lastErr, platform.ErrRestored) {
+		return PushResult{}, lastErr
 	}
 	return PushResult{}, ErrConcurrentPushes
 }
 
+// waitForRewrite waits if no push has been accepted yet in the store's generation.
+func waitForRewrite(client *platform.Client) error {
+	head, position, err := ReadHead(client)
+	if err == nil && head.InGeneration(position.Generation).Revision > head.Revision {
+		time.Sleep(rewritePeriod)
+	}
+	return err
+}
+
 // pushOnce makes one attempt of a push. It fails with platform.ErrConflict if another
 // operator's push came first.
-func pushOnce(client *platform.Client, base config.Head, local []config.File, changeID string) (PushResult, error) {
-	head, version, err := ReadHead(client)
+func pushOnce(client *platform.Client, base folderBase, local []config.File, changeID string) (PushResult, error) {
+	head, position, err := ReadHead(client)
 	if err != nil {
 		return PushResult{}, err
 	}
+	if err := base.checkIn(head, position); err != nil {
+		return PushResult{}, err
+	}
 	if head.Revision < base.Revision {
 		return PushResult{}, errPlatformStale
 	}
-	files, rebased, err := mergeFiles(client, base, head, local)
+	files, rebased, err := mergeFiles(client, base.Head, head, local)
 	if err != nil {
 		return PushResult{}, err
 	}
-	next := head.Next(changeID, files)
+	next := head.InGeneration(position.Generation).Next(changeID, files)
 	if sameFiles(next.Files, head.Files) {
-		return PushResult{head: head, isUnchanged: true}, nil
+		return PushResult{head: head, generation: position.Generation, isUnchanged: true}, nil
 	}
 	if _, err := config.NewBuilder().Build(next, files); err != nil {
 		return PushResult{}, fmt.Errorf("with the other operators' changes:\n%w", err)
@@ -126,27 +160,27 @@
 	if err := upload(client, files); err != nil {
 		return PushResult{}, err
 	}
-	if err := updateHead(client, next, version); err != nil {
+	if err := updateHead(client, next, position); err != nil {
 		return PushResult{}, err
 	}
-	return PushResult{head: next, rebased: rebased}, nil
+	return PushResult{head: next, generation: position.Generation, rebased: rebased}, nil
 }
 
-// ReadHead returns the head and its version. Before the first push it returns an
-// empty head and platform.Absent.
-func ReadHead(client *platform.Client) (config.Head, platform.Version, error) {
+// ReadHead returns the head and its position. Before the first push it returns an
+// empty head and the position of the missing object.
+func ReadHead(client *platform.Client) (config.Head, platform.Position, error) {
 	object, err := client.Get(member.HeadKey)
 	if errors.Is(err, platform.ErrNotFound) {
-		return config.Head{}, platform.Absent, nil
+		return config.Head{}, object.Position, nil
 	}
 	if err != nil {
-		return config.Head{}, 0, err
+		return config.Head{}, platform.Position{}, err
 	}
 	var head config.Head
 	if err := json.Unmarshal(object.Value, &head); err != nil {
-		return head, 0, fmt.Errorf("head object: %w", err)
+		return head, platform.Position{}, fmt.Errorf("head object: %w", err)
 	}
-	return head, object.Version, nil
+	return head, object.Position, nil
 }
 
 // mergeFiles merges the files of a folder with the changes that other operators have
@@ -217,31 +251,31 @@
 	return nil
 }
 
-// updateHead writes the head if its version has not changed. If the platform's reply
+// updateHead writes the head if its position has not changed. If the platform's reply
 // is lost, updateHead reads the head to determine whether the write succeeded.
-func updateHead(client *platform.Client, next config.Head, version platform.Version) error {
+func updateHead(client *platform.Client, next config.Head, position platform.Position) error {
 	value, err := json.Marshal(next)
 	if err != nil {
 		return err
 	}
-	_, err = client.Put(member.HeadKey, value, version)
+	_, err = client.Put(member.HeadKey, value, position)
 	if !errors.Is(err, platform.ErrUnavailable) {
 		return err
 	}
 	for n := 0; n < maxReadBacks; n++ {
 		time.Sleep(readBackInterval)
-		head, currentVersion, err := ReadHead(client)
+		head, current, err := ReadHead(client)
 		switch {
 		case err != nil:
 			continue
 		case head.HasChange(next.ChangeID):
 			return nil
-		case currentVersion != version:
+		case current != position:
 			return platform.ErrConflict
 		}
 		// The first write may still be in flight. Write again under the same
 		// condition: only one of the two writes can succeed.
-		if _, err := client.Put(member.HeadKey, value, version); err == nil {
+		if _, err := client.Put(member.HeadKey, value, position); err == nil {
 			return nil
 		}
 	}
