--- a/internal/transport/follower/follower.go
+++ b/internal/transport/follower/follower.go
@@ -59,6 +59,9 @@
 	// MergeTargets and MergeOutOfService take the first lists of a restored store.
 	MergeTargets      func(targets []fleet.Target, now time.Time)
 	MergeOutOfService func(out map[string]bool, now time.Time)
+	// AppliedVersion returns the newest version of the configuration that other entries have
+	// applied; 0 if they know none.
+	AppliedVersion func(ctx context.Context) int64
 }
 
 // Follower reads and watches the store until it is closed. It is safe for
@@ -70,13 +73,22 @@
 	log    hclog.Logger
 
 	table atomic.Pointer[routing.Table]
-	// seenRevision is the revision up to which every version of the configuration
-	// was read; 0 if one may have been missed.
-	seenRevision int64
+	// seen is the position up to which every version of the configuration was read; the zero
+	// value if one may have been missed.
+	seen platform.Position
+	// storedVersion is the newest version of the configuration that the store was seen to have
+	// since it was last restored.
+	storedVersion int64
+	// knownVersion is the newest version that this or another entry has applied.
+	knownVersion atomic.Int64
+	// tableGeneration is the generation of the store from which the table was read.
+	tableGeneration int64
 	// confirmedAt is the boot time of the latest confirmation, in nanoseconds.
 	confirmedAt atomic.Int64
-	// generation is that of the store at the last read of the configuration.
+	// generation is that of the store at the last read of the configuration, and hasRead is
+	// set after the first.
 	generation        int64
+	hasRead           bool
 	targetsListed     atomic.Bool
 	evacuationsListed atomic.Bool
 	isUnreachable     atomic.Bool
@@ -125,6 +137,10 @@
 // read.
 func (f *Follower) Table() *routing.Table { return f.table.Load() }
 
+// KnownVersion returns the newest version of the configuration that this or another entry is
+// known to have applied; 0 if there is none.
+func (f *Follower) KnownVersion() int64 { return f.knownVersion.Load() }
+
 // ConfirmationAge returns the time between the latest confirmation that the
 // configuration is current and the given boot time.
 func (f *Follower) ConfirmationAge(boot time.Duration) time.Duration {
@@ -215,25 +231,25 @@
 		f.logConfigFailure(ctx, "list", requestedAt, err)
 		return err
 	}
-	f.recordGeneration()
+	f.recordGeneration(ctx, read.Position)
 	f.applyConfig(read, "list", requestedAt)
-	revision, complete := read.Revision, len(read.Invalid) == 0
+	position, complete := read.Position, len(read.Invalid) == 0
 	if complete {
-		f.seenRevision = revision
+		f.seen = position
 		f.confirm(requestedAt)
-	} else if f.seenRevision > 0 {
-		revision, complete = f.seenRevision, true
+	} else if f.seen.Generation() == position.Generation() && f.seen != (platform.Position{}) {
+		position, complete = f.seen, true
 	}
 	for failures := 0; ; {
 		requestedAt = process.BootTime()
 		wait := nextConfigWait(f.ConfirmationAge(requestedAt), f.limits().ConfirmationLifetime)
-		read, err := f.store.WatchConfig(ctx, revision, wait)
+		read, err := f.store.WatchConfig(ctx, position, wait)
 		if err != nil {
 			f.logConfigFailure(ctx, "watch", requestedAt, err)
 			f.restartWatches(ctx)
 			isHistoryGone := errors.Is(err, platform.ErrHistoryGone)
 			if isHistoryGone {
-				f.seenRevision = 0
+				f.seen = platform.Position{}
 			}
 			if failures++; isHistoryGone || failures > 1 {
 				return err
@@ -241,24 +257,29 @@
 			continue
 		}
 		failures = 0
-		revision, complete = read.Revision, complete || read.Table != nil
-		f.recordGeneration()
+		position, complete = read.Position, complete || read.Table != nil
 		f.applyConfig(read, "watch", requestedAt)
 		if complete {
-			f.seenRevision = revision
+			f.seen = position
 			changed := read.Table != nil || len(read.Invalid) > 0
 			f.confirm(confirmationTime(requestedAt, process.BootTime(), wait, changed))
 		}
 	}
 }
 
-// recordGeneration logs that the store was restored since the last read of the configuration.
-func (f *Follower) recordGeneration() {
-	before := f.generation
-	f.generation = f.store.Generation()
-	if before != 0 && before != f.generation {
-		event.StoreRestored.Log(f.log, "generation", f.generation, "before", before)
+// recordGeneration records that a list of the configuration comes from the start of this
+// process, or is the first since the store was restored. The store may then have lost a version
+// that removed keys, so the other entries are asked for the newest one.
+func (f *Follower) recordGeneration(ctx context.Context, p platform.Position) {
+	if f.hasRead && f.generation == p.Generation() {
+		return
+	}
+	if f.hasRead {
+		event.StoreRestored.Log(f.log, "generation", p.Generation(), "before", f.generation)
 	}
+	f.generation, f.hasRead = p.Generation(), true
+	f.storedVersion = 0
+	f.knownVersion.Store(max(f.knownVersion.Load(), f.sink.AppliedVersion(ctx)))
 }
 
 // confirmationTime returns the latest boot time at which a watch confirms that
@@ -279,10 +300,14 @@
 	return min(longest, max(minConfigWait, time.Duration(nextConfirmationShare*float64(lifetime))-age))
 }
 
-// confirm records that the configuration was current at a boot time.
+// confirm records that the configuration was current at a boot time, unless the store has lost
+// a version that was applied.
 func (f *Follower) confirm(at time.Duration) {
-	f.confirmedAt.Store(max(f.confirmedAt.Load(), int64(at)))
 	f.recordReachable()
+	if f.storedVersion < f.knownVersion.Load() {
+		return
+	}
+	f.confirmedAt.Store(max(f.confirmedAt.Load(), int64(at)))
 }
 
 // logConfigFailure logs a failed read of the configuration, unless the follower is
@@ -297,8 +322,8 @@
 }
 
 // applyConfig applies the configuration that a list or a watch returned, which was
-// requested at a boot time, if it is newer than the current one. It logs the versions
-// that are invalid.
+// requested at a boot time, if it is newer than the current one, or the same version written
+// again. It logs the versions that are invalid.
 func (f *Follower) applyConfig(c platform.ConfigRead, read string, requestedAt time.Duration) {
 	for _, err := range c.Invalid {
 		event.ConfigInvalid.Log(f.log, "error", err.Error())
@@ -307,13 +332,17 @@
 	if t == nil {
 		return
 	}
-	if old := f.table.Load(); old != nil && old.Version() >= t.Version() {
-		if old.Version() > t.Version() {
-			event.ConfigLost.Log(f.log, "version", t.Version(), "in-force", old.Version(), "read", read)
-		}
+	f.storedVersion = max(f.storedVersion, t.Version())
+	if known := f.knownVersion.Load(); f.storedVersion < known {
+		event.ConfigLost.Log(f.log, "version", f.storedVersion, "known", known, "read", read)
+	}
+	generation := c.Position.Generation()
+	if old := f.table.Load(); old != nil && (old.Version() > t.Version() || old.Version() == t.Version() && generation == f.tableGeneration) {
 		return
 	}
 	f.table.Store(t)
+	f.tableGeneration = generation
+	f.knownVersion.Store(max(f.knownVersion.Load(), t.Version()))
 	now := process.BootTime()
 	event.ConfigAdopted.Log(f.log, "version", t.Version(), "read", read, "read-ms", (now - requestedAt).Milliseconds(),
 		"proof-age-ms", f.ConfirmationAge(now).Milliseconds())
@@ -321,12 +350,12 @@
 
 // followTargets lists the targets and applies their changes until a call fails.
 func (f *Follower) followTargets(ctx context.Context) error {
-	list, faults, revision, err := f.store.Targets(ctx)
+	list, faults, position, err := f.store.Targets(ctx)
 	if err != nil {
 		return err
 	}
 	f.logInvalid(faults)
-	if now := time.Now(); f.targetLists.record(f.store.Generation(), now) {
+	if now := time.Now(); f.targetLists.record(position.Generation(), now) {
 		f.sink.MergeTargets(list, now)
 	} else {
 		f.sink.ReplaceTargets(list, now)
@@ -337,11 +366,11 @@
 		if wait == 0 {
 			return nil
 		}
-		changes, faults, next, err := f.store.WatchTargets(ctx, revision, wait)
+		changes, faults, next, err := f.store.WatchTargets(ctx, position, wait)
 		if err != nil {
 			return err
 		}
-		revision = next
+		position = next
 		f.logInvalid(faults)
 		f.recordReachable()
 		if len(changes) > 0 {
@@ -361,12 +390,12 @@
 // followEvacuations lists the data centres that are out of service and applies
 // changes until a call fails.
 func (f *Follower) followEvacuations(ctx context.Context) error {
-	out, revision, err := f.store.Evacuations(ctx)
+	out, position, err := f.store.Evacuations(ctx)
 	if err != nil {
 		return err
 	}
 	now, apply := time.Now(), f.sink.SetOutOfService
-	if f.evacuationLists.record(f.store.Generation(), now) {
+	if f.evacuationLists.record(position.Generation(), now) {
 		apply = f.sink.MergeOutOfService
 	}
 	f.logEvacuations(out)
@@ -377,11 +406,11 @@
 		if wait == 0 {
 			return nil
 		}
-		changes, next, err := f.store.WatchEvacuations(ctx, revision, wait)
+		changes, next, err := f.store.WatchEvacuations(ctx, position, wait)
 		if err != nil {
 			return err
 		}
-		revision = next
+		position = next
 		if len(changes) == 0 {
 			continue
 		}
--- a/internal/transport/gateway/entries.go
+++ b/internal/transport/gateway/entries.go
@@ -44,6 +44,7 @@
 	backoff := housekeepingInterval
 	for ctx.Err() == nil {
 		delay := backoff
+		_, restored := g.store.Generation()
 		backoff = min(2*backoff, maxEntriesRetryDelay)
 		list, invalid, err := g.store.Entries(ctx, reads > 1)
 		for _, err := range invalid {
@@ -75,6 +76,8 @@
 		}
 		select {
 		case <-time.After(delay):
+		case <-restored:
+			reads = 0 // the registration may be lost, and a stale list would not tell
 		case <-ctx.Done():
 		}
 	}
@@ -94,7 +97,7 @@
 	}
 	if name := neighbour.Choose(g.settings.Name, lo.Keys(list)); name != "" && neighbour.RecordCheck(g.canReach(list[name].Address)) {
 		event.EntryRemoved.Log(g.log, "entry", name, "address", list[name].Address)
-		if err := g.store.RemoveEntry(ctx, name, list[name].Revision); err != nil && !errors.Is(err, platform.ErrConflict) {
+		if err := g.store.RemoveEntry(ctx, name, list[name].Registered); err != nil && !errors.Is(err, platform.ErrConflict) {
 			event.StoreWriteFailed.Log(g.log, "error", err.Error())
 		}
 	}
@@ -130,6 +133,7 @@
 	mux.HandleFunc(pathLoan, g.targetLimits.serveLoan)
 	mux.HandleFunc(pace.Path, g.servePaces)
 	mux.HandleFunc(pathRefusals, g.refusals.serveMessage)
+	mux.HandleFunc(pathAppliedVersion, g.serveAppliedVersion)
 	mux.HandleFunc("/", g.relayRead)
 	return mux
 }
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -198,6 +198,7 @@
 		SetOutOfService:   g.fleet.SetDataCentresOut,
 		MergeTargets:      g.fleet.Merge,
 		MergeOutOfService: g.fleet.MergeDataCentresOut,
+		AppliedVersion:    g.appliedVersion,
 	}, g.limits, log)
 	listeners = g.guardListeners(listeners)
 	g.ready = g.newServer(g.serveReady, maxInternalHeaderBytes)
--- a/internal/transport/gateway/restored_test.go
+++ b/internal/transport/gateway/restored_test.go
@@ -3,161 +3,184 @@
 import (
 	"fmt"
 	"net/http"
-	"strings"
+	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"bluebellcrank/internal/coordination/balance"
+	"bluebellcrank/internal/coordination/quarantine"
+	"bluebellcrank/internal/transport/process"
+	"bluebellcrank/platform"
 	"bluebellcrank/platform/standin"
 )
 
-const (
-	// heartbeat is the time after which writers write again, and silence the time after
-	// which the store drops a target that nobody writes.
-	heartbeat = 1200 * time.Millisecond
-	silence   = 3 * heartbeat
-)
-
-// restoredEnv has an entry, target "t-0" in the data centre "east", and "t-1" in "west".
-type restoredEnv struct {
-	*testEnv
-	// first and second are runs of t-1, at addresses of their own.
-	first, second       *standin.Target
-	firstURL, secondURL string
-}
-
-func newRestoredEnv(t *testing.T) *restoredEnv {
-	env := &restoredEnv{testEnv: newTestEnv(t), first: &standin.Target{ID: "t-1"}, second: &standin.Target{ID: "t-1"}}
-	env.firstURL, env.secondURL = env.addTarget(env.first, "t-1", "bells"), env.addTarget(env.second, "t-1", "bells")
-	env.store.Delete("servers", "t-1")
-	env.addTarget(&standin.Target{ID: "t-0"}, "t-0", "bells")
-	return env
-}
-
-// put writes the registration of t-1.
-func (env *restoredEnv) put(url, state string, startedAtMs int64) {
-	env.store.Put("servers", "t-1", map[string]any{
-		"service": "bells", "address": strings.TrimPrefix(url, "http://"), "zone": "west", "slots": 8, "state": state, "born": startedAtMs,
-	})
-}
+// restoreTime is how long after a restore an entry may not know yet what was written again.
+const restoreTime = 3 * time.Second
 
-func (env *restoredEnv) serving()   { env.put(env.firstURL, "serving", 100) }
-func (env *restoredEnv) leaving()   { env.put(env.firstURL, "draining", 100) }
-func (env *restoredEnv) restarted() { env.put(env.secondURL, "serving", 200) }
-func (env *restoredEnv) gone()      { env.store.Delete("servers", "t-1") }
-func (env *restoredEnv) out()       { env.store.Put("evacuations", "west", map[string]any{}) }
-func (env *restoredEnv) nothing()   {}
+// removedKey is a key of the first version of a restoredEnv.
+const removedKey = "removed-key"
 
-// isUsed reports whether the run of t-1 at an address may get requests.
-func (env *restoredEnv) isUsed(url string) bool {
-	l, _ := env.gateway.fleet.Pick(balance.Request{Service: "bells", Tried: []string{"t-0"}}, time.Now())
-	if l == nil {
-		return false
+// fill raises the store's revision by changes that the entries watch.
+func (env *testEnv) fill(count int) {
+	for n := range count {
+		env.putTarget("filler", "drafts", fmt.Sprint("http://127.0.0.1:", n+1), "serving")
 	}
-	defer l.Done(balance.Abandoned, 0, time.Now())
-	return l.Target().Address == strings.TrimPrefix(url, "http://")
 }
 
-// restore restores the store from a copy after a short absence.
-func (env *restoredEnv) restore(c *standin.Copy) {
-	env.store.SetFailureStatus(http.StatusServiceUnavailable)
-	time.Sleep(200 * time.Millisecond)
-	env.store.Restore(c)
-	env.store.SetFailureStatus(0)
+// knowsTarget reports whether an entry has a target in a state.
+func knowsTarget(g *Gateway, id string, isLeaving bool) bool {
+	return slices.ContainsFunc(g.fleet.Targets(time.Now()), func(t balance.TargetState) bool { return t.ID == id && t.Leaving == isLeaving })
 }
 
-// send sends requests for a time and returns how many were not served.
-func (env *restoredEnv) send(duration time.Duration) int {
-	failed := 0
-	for n, end := 0, time.Now().Add(duration); time.Now().Before(end); n++ {
-		if env.do(env.request(status, fmt.Sprintf("a-%d", n), "")).status != http.StatusOK {
-			failed++
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-	return failed
-}
-
-// checkLast checks whether the first run is used once the store is followed again.
-func (env *restoredEnv) checkLast(isUsed bool) {
-	time.Sleep(2 * time.Second)
-	if isUsed {
-		env.eventually("the first run is used", func() bool { return env.isUsed(env.firstURL) })
-		return
-	}
-	env.c.Check(env.isUsed(env.firstURL), qt.IsFalse)
-}
-
-// TestRestoredStoreBringsNoTargetBack restores the store from a copy that was made before t-1
-// changed. Its first run gets no request until the store had time to tell of that again.
-func TestRestoredStoreBringsNoTargetBack(t *testing.T) {
+// TestChangeAfterARestoreIsNotMissed restores the store while it answers no call, so that a
+// watch goes on from a revision that is given out again, past a change.
+func TestChangeAfterARestoreIsNotMissed(t *testing.T) {
 	tests := []struct {
-		name string
-		// change is done after the copy was made, and again after each restore.
-		change, again func(env *restoredEnv)
-		againAfter    time.Duration
-		restores      int
-		// isUsedAtLast is whether the first run gets requests in the end.
-		isUsedAtLast bool
+		name   string
+		change func(env *testEnv)
+		isSeen func(env *testEnv) bool
 	}{
-		{"it leaves", (*restoredEnv).leaving, (*restoredEnv).leaving, heartbeat, 1, false},
-		{"it leaves, and the store is restored twice", (*restoredEnv).leaving, (*restoredEnv).leaving, heartbeat, 2, false},
-		{"it leaves, and is dropped", (*restoredEnv).leaving, (*restoredEnv).gone, silence, 1, false},
-		{"it is removed, and dropped", (*restoredEnv).gone, (*restoredEnv).gone, silence, 1, false},
-		{"it is removed, and written again", (*restoredEnv).gone, (*restoredEnv).nothing, 0, 1, true},
-		{"it has started again", (*restoredEnv).restarted, (*restoredEnv).restarted, heartbeat, 1, false},
-		{"its data centre is out", (*restoredEnv).out, (*restoredEnv).out, heartbeat, 1, false},
-		{"its data centre is out, and in again", (*restoredEnv).out, (*restoredEnv).nothing, 0, 1, true},
+		{"a new target", func(env *testEnv) { env.putTarget("t-new", "bells", "http://127.0.0.1:9", "serving") }, func(env *testEnv) bool {
+			return knowsTarget(env.gateway, "t-new", false)
+		}},
+		{"a target that leaves", func(env *testEnv) { env.putTarget("t-0", "bells", "http://127.0.0.1:9", "draining") }, func(env *testEnv) bool {
+			return knowsTarget(env.gateway, "t-0", true)
+		}},
+		{"a data centre out of service", func(env *testEnv) { env.store.Put("evacuations", "east", map[string]any{}) }, func(env *testEnv) bool {
+			return env.do(env.request(order, "a-east", "strike")).status == http.StatusServiceUnavailable
+		}},
+		{"a version of the configuration", func(env *testEnv) { env.configure("another-key", order) }, func(env *testEnv) bool {
+			return env.gateway.follower.Table().Account("another-key") != nil
+		}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			env := newRestoredEnv(t)
-			env.serving()
-			env.eventually("t-1 is used", func() bool { return env.isUsed(env.firstURL) })
-			c := env.store.Copy()
+			env := newTestEnv(t)
+			env.addTarget(&standin.Target{ID: "t-0"}, "t-0", "bells")
+			env.eventually("the target is known", func() bool { return knowsTarget(env.gateway, "t-0", false) })
+			copied := env.store.Copy()
+			env.fill(8)
+			env.configure(testKey, order)
+			env.store.Put("evacuations", "west", map[string]any{})
+			env.eventually("the entry follows", func() bool { return env.gateway.follower.Table().Version() == 2 })
+			time.Sleep(time.Second) // all watches wait from a late revision
+			env.store.Hang()
+			env.store.Restore(copied)
 			tt.change(env)
-			env.eventually("the change is known", func() bool { return !env.isUsed(env.firstURL) })
-			for range tt.restores {
-				env.restore(c)
-				time.Sleep(400 * time.Millisecond)
+			env.fill(20)
+			env.store.Resume()
+			for end := time.Now().Add(restoreTime); time.Now().Before(end) && !tt.isSeen(env); {
+				time.Sleep(20 * time.Millisecond)
 			}
-			before := len(env.first.Requests())
-			time.AfterFunc(tt.againAfter, func() { tt.again(env) })
-			env.c.Check(env.send(balance.ExpiryPeriod-time.Second), qt.Equals, 0)
-			env.c.Check(len(env.first.Requests())-before, qt.Equals, 0, qt.Commentf("requests at the first run"))
-			env.checkLast(tt.isUsedAtLast)
+			env.c.Check(tt.isSeen(env), qt.IsTrue)
 		})
 	}
 }
 
-// TestRestoredStoreTakesNoTargetAway restores the store from a copy that was made before the
-// only target registered. All requests are served
-// until it writes again.
-func TestRestoredStoreTakesNoTargetAway(t *testing.T) {
+// TestRemovedKeyIsNotServedWhileTheStoreHasLostItsRemoval restores a store from before a key
+// was removed, with an entry that knows the removal and one that may not.
+func TestRemovedKeyIsNotServedWhileTheStoreHasLostItsRemoval(t *testing.T) {
 	tests := []struct {
-		name  string
-		again func(env *restoredEnv)
-		// isUsedAtLast is whether t-1 still gets requests in the end.
-		isUsedAtLast bool
+		name string
+		// start returns the entry that knows the removal, and a function that returns the
+		// other one after the restore.
+		start func(env *testEnv) (*Gateway, func() *Gateway)
 	}{
-		{"it writes again", (*restoredEnv).serving, true},
-		{"it does not", (*restoredEnv).nothing, false},
+		{"the same entry", func(env *testEnv) (*Gateway, func() *Gateway) {
+			return env.gateway, func() *Gateway { return env.gateway }
+		}},
+		{"an entry that starts", func(env *testEnv) (*Gateway, func() *Gateway) {
+			return env.gateway, func() *Gateway { return env.addEntry("entry-2", "127.0.0.2", env.storeAddress) }
+		}},
+		{"an entry that was cut off", func(env *testEnv) (*Gateway, func() *Gateway) {
+			env.storeBlocked.Store(true)
+			env.silenceStore()
+			other := env.addEntry("entry-2", "127.0.0.2", env.storeAddress)
+			env.eventually("the other entry is ready", other.isReady)
+			return other, func() *Gateway {
+				time.Sleep(env.settings.Load().Bounds.RevocationTimeout)
+				env.storeBlocked.Store(false)
+				return env.gateway
+			}
+		}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			t.Parallel()
-			env := newRestoredEnv(t)
-			env.store.Delete("servers", "t-0")
-			c := env.store.Copy()
-			env.serving()
-			env.eventually("t-1 is used", func() bool { return env.isUsed(env.firstURL) })
-			env.restore(c)
-			time.AfterFunc(heartbeat, func() { tt.again(env) })
-			env.c.Check(env.send(balance.RewritePeriod-300*time.Millisecond), qt.Equals, 0)
-			env.checkLast(tt.isUsedAtLast)
+			env := newTestEnv(t)
+			env.addTarget(&standin.Target{ID: "t-0"}, "t-0", "bells")
+			env.configure(removedKey, order)
+			env.eventually("the key is known", func() bool { return env.gateway.follower.Table().Account(removedKey) != nil })
+			knower, start := tt.start(env)
+			env.eventually("the entry is registered", func() bool {
+				return slices.Contains(env.store.Names("bluebellcrank-entries"), knower.settings.Name)
+			})
+			copied := env.store.Copy()
+			env.configure(testKey, order)
+			env.eventually("the key is removed", func() bool { return knower.follower.Table().Account(removedKey) == nil })
+			env.store.SetFailureStatus(http.StatusServiceUnavailable)
+			time.Sleep(200 * time.Millisecond)
+			env.store.Restore(copied)
+			env.store.SetFailureStatus(0)
+			g := start()
+			do := func(attempt, key string) int {
+				q := env.request(order, attempt, "strike")
+				q.URL.Host = g.settings.TrafficListen
+				q.Header.Set("Authorization", "Token "+key)
+				return env.do(q).status
+			}
+			for end := time.Now().Add(restoreTime); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				env.c.Assert(do("a-1", removedKey), qt.Not(qt.Equals), http.StatusOK)
+			}
+			env.version--
+			env.configure(testKey, order)
+			env.eventually("the key of the version that is written again is served", func() bool { return do("a-2", testKey) == http.StatusOK })
+			env.c.Check(do("a-3", removedKey), qt.Equals, http.StatusUnauthorized)
 		})
 	}
 }
+
+// TestWhatAnEntryWroteIsWrittenAgainAfterARestore restores a store from before the entry
+// registered and quarantined a key.
+func TestWhatAnEntryWroteIsWrittenAgainAfterARestore(t *testing.T) {
+	env := newTestEnv(t)
+	suspect := quarantine.Suspect{Request: 7}
+	for n := range 3 {
+		env.gateway.quarantine.recordCrash(suspect, true, process.BootTime()+time.Duration(n)*time.Second)
+	}
+	names := func() []string {
+		return slices.Concat(env.store.Names("bluebellcrank-entries"), env.store.Names("bluebellcrank-quarantined"))
+	}
+	written := []string{"entry-1", keyName(7)}
+	env.eventually("both are written", func() bool { return slices.Equal(names(), written) })
+	copied := env.store.Copy()
+	for _, name := range written {
+		env.store.Delete("bluebellcrank-entries", name)
+		env.store.Delete("bluebellcrank-quarantined", name)
+	}
+	empty := env.store.Copy()
+	env.store.Restore(copied)
+	time.Sleep(secondReadDelay + time.Second) // the next read is due after entriesReadInterval
+	env.store.Restore(empty)
+	for end := time.Now().Add(restoreTime); time.Now().Before(end) && !slices.Equal(names(), written); {
+		time.Sleep(20 * time.Millisecond)
+	}
+	env.c.Check(names(), qt.DeepEquals, written)
+}
+
+// TestRegistrationIsNotRemovedByARevisionOfBefore has an entry be removed by the revision of
+// its registration before the store was restored.
+func TestRegistrationIsNotRemovedByARevisionOfBefore(t *testing.T) {
+	env := newTestEnv(t)
+	s := platform.NewStore(env.storeAddress)
+	copied := env.store.Copy()
+	env.c.Assert(s.Register(t.Context(), "entry-9", "127.0.0.9", "east"), qt.IsNil)
+	list, _, err := s.Entries(t.Context(), false)
+	env.c.Assert(err, qt.IsNil)
+	env.store.Restore(copied)
+	env.c.Assert(s.Register(t.Context(), "entry-9", "127.0.0.9", "east"), qt.IsNil)
+	env.c.Check(s.RemoveEntry(t.Context(), "entry-9", list["entry-9"].Registered), qt.ErrorIs, platform.ErrConflict)
+	env.c.Check(slices.Contains(env.store.Names("bluebellcrank-entries"), "entry-9"), qt.IsTrue)
+}
