Tests of a restored store: silent while it goes back, and never away

Cause: the entry tests had the store refuse all calls while it was restored, so that no watch went on across it.

Change: two cases more, a store that answers nothing meanwhile and one that is not away.

Measured: all 12 cases pass in three runs, and in two with the race detector.

--- a/internal/transport/gateway/restoredtargets_test.go
+++ b/internal/transport/gateway/restoredtargets_test.go
@@ -60,14 +60,26 @@
 	return l.Target().Address == strings.TrimPrefix(url, "http://")
 }
 
-// restore restores the store from a copy after a short absence.
-func (env *restoredEnv) restore(c *standin.Copy) {
-	env.store.SetFailureStatus(http.StatusServiceUnavailable)
-	time.Sleep(200 * time.Millisecond)
-	env.store.Restore(c)
-	env.store.SetFailureStatus(0)
+// absence is how long a store is away while it is restored.
+const absence = 200 * time.Millisecond
+
+// refusing, silent and present are what the store does while it is restored.
+func refusing(s *standin.Store, c *standin.Copy) {
+	s.SetFailureStatus(http.StatusServiceUnavailable)
+	time.Sleep(absence)
+	s.Restore(c)
+	s.SetFailureStatus(0)
+}
+
+func silent(s *standin.Store, c *standin.Copy) {
+	s.Hang()
+	s.Restore(c)
+	time.Sleep(absence)
+	s.Resume()
 }
 
+func present(s *standin.Store, c *standin.Copy) { s.Restore(c) }
+
 // send sends requests for a time and returns how many were not served.
 func (env *restoredEnv) send(duration time.Duration) int {
 	failed := 0
@@ -99,17 +111,20 @@
 		change, again func(env *restoredEnv)
 		againAfter    time.Duration
 		restores      int
+		restore       func(s *standin.Store, c *standin.Copy)
 		// isUsedAtLast is whether the first run gets requests in the end.
 		isUsedAtLast bool
 	}{
-		{"it leaves", (*restoredEnv).leaving, (*restoredEnv).leaving, heartbeat, 1, false},
-		{"it leaves, and the store is restored twice", (*restoredEnv).leaving, (*restoredEnv).leaving, heartbeat, 2, false},
-		{"it leaves, and is dropped", (*restoredEnv).leaving, (*restoredEnv).gone, silence, 1, false},
-		{"it is removed, and dropped", (*restoredEnv).gone, (*restoredEnv).gone, silence, 1, false},
-		{"it is removed, and written again", (*restoredEnv).gone, (*restoredEnv).nothing, 0, 1, true},
-		{"it has started again", (*restoredEnv).restarted, (*restoredEnv).restarted, heartbeat, 1, false},
-		{"its data centre is out", (*restoredEnv).out, (*restoredEnv).out, heartbeat, 1, false},
-		{"its data centre is out, and in again", (*restoredEnv).out, (*restoredEnv).nothing, 0, 1, true},
+		{"it leaves", (*restoredEnv).leaving, (*restoredEnv).leaving, heartbeat, 1, refusing, false},
+		{"it leaves, and the store is restored twice", (*restoredEnv).leaving, (*restoredEnv).leaving, heartbeat, 2, refusing, false},
+		{"it leaves, and the store is silent", (*restoredEnv).leaving, (*restoredEnv).leaving, heartbeat, 1, silent, false},
+		{"it leaves, and the store is never away", (*restoredEnv).leaving, (*restoredEnv).leaving, heartbeat, 1, present, false},
+		{"it leaves, and is dropped", (*restoredEnv).leaving, (*restoredEnv).gone, silence, 1, refusing, false},
+		{"it is removed, and dropped", (*restoredEnv).gone, (*restoredEnv).gone, silence, 1, refusing, false},
+		{"it is removed, and written again", (*restoredEnv).gone, (*restoredEnv).nothing, 0, 1, refusing, true},
+		{"it has started again", (*restoredEnv).restarted, (*restoredEnv).restarted, heartbeat, 1, refusing, false},
+		{"its data centre is out", (*restoredEnv).out, (*restoredEnv).out, heartbeat, 1, refusing, false},
+		{"its data centre is out, and in again", (*restoredEnv).out, (*restoredEnv).nothing, 0, 1, refusing, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -121,7 +136,7 @@
 			tt.change(env)
 			env.eventually("the change is known", func() bool { return !env.isUsed(env.firstURL) })
 			for range tt.restores {
-				env.restore(c)
+				tt.restore(env.store, c)
 				time.Sleep(400 * time.Millisecond)
 			}
 			before := len(env.first.Requests())
@@ -154,7 +169,7 @@
 			c := env.store.Copy()
 			env.serving()
 			env.eventually("t-1 is used", func() bool { return env.isUsed(env.firstURL) })
-			env.restore(c)
+			refusing(env.store, c)
 			time.AfterFunc(heartbeat, func() { tt.again(env) })
 			env.c.Check(env.send(balance.RewritePeriod-300*time.Millisecond), qt.Equals, 0)
 			env.checkLast(tt.isUsedAtLast)
