--- a/internal/transport/follower/restored.go
+++ b/internal/transport/follower/restored.go
@@ -5,16 +5,17 @@
 // listTimes tells which list is the first one of a restored store, and when the lists after
 // it are due.
 type listTimes struct {
-	// generation is that of the store at the latest list, 0 before the first one.
+	// generation is that of the store at the latest list, which was at listedAt.
 	generation int64
+	listedAt   time.Time
 	// restoredAt is the time of the first list of the restored store; zero if there was
 	// none.
-	restoredAt, listedAt time.Time
+	restoredAt time.Time
 }
 
 // record records a list, and reports whether it is the first one of a restored store.
 func (l *listTimes) record(generation int64, now time.Time) bool {
-	isFirst := l.generation != 0 && generation != l.generation
+	isFirst := !l.listedAt.IsZero() && generation != l.generation
 	l.generation, l.listedAt = generation, now
 	if isFirst {
 		l.restoredAt = now
