An answer of another entry counts only for the call that it names

What could happen: an attempt at a target that names a limit counted as lent although it was not, so that the target got more than its limit; or an older list was merged as new.

Cause: answers between entries name no call, and a copy of an earlier one came where the next one on the kept connection was due. Entries write one answer for each call, so this needs one in between, or a faulty entry; seen in no run of processes.

Change: a call has an id, which the entry repeats. An answer without one, as of an entry of the previous version, counts on a connection that has carried nothing before; on others the call fails, and its connection is closed unless the answer is empty.

No connection or call is added, and some 25 bytes to each request and answer.

--- a/internal/transport/gateway/entries.go
+++ b/internal/transport/gateway/entries.go
@@ -131,7 +131,12 @@
 	mux.HandleFunc(pace.Path, g.servePaces)
 	mux.HandleFunc(pathRefusals, g.refusals.serveMessage)
 	mux.HandleFunc("/", g.relayRead)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get(headerCallID); id != "" {
+			w.Header().Set(headerCallID, id)
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 // relayRead relays another entry's read to the store. It refuses while this
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -8,6 +8,8 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
+	"strconv"
 	"sync"
 	"time"
 
@@ -21,6 +23,8 @@
 	maxPeerRoundTrip = 200 * time.Millisecond
 	// maxReplyBytes bounds what is read of another entry's answer.
 	maxReplyBytes = 1 << 20
+	// headerCallID identifies a call to another entry, which repeats it in its answer.
+	headerCallID = "Call-Id"
 )
 
 // entryPeers are the other entries, as this one reaches them. It is safe for concurrent
@@ -123,7 +127,13 @@
 }
 
 // do sends a request to another entry and decodes the answer into result, which may be nil.
+// An answer that names no call counts only on a connection that has carried nothing before.
 func (p *entryPeers) do(request *http.Request, result any) error {
+	isFirst := false
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { isFirst = !i.Reused }}
+	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
+	id := strconv.FormatUint(rand.Uint64(), 36)
+	request.Header.Set(headerCallID, id)
 	answer, err := p.client.Do(request)
 	if err != nil {
 		return err
@@ -132,6 +142,9 @@
 	if answer.StatusCode >= http.StatusMultipleChoices {
 		return fmt.Errorf("%s %s: status %d", request.Method, request.URL, answer.StatusCode)
 	}
+	if got := answer.Header.Get(headerCallID); got != id && (got != "" || !isFirst) {
+		return fmt.Errorf("%s %s: the answer belongs to another call", request.Method, request.URL)
+	}
 	if result == nil {
 		return nil
 	}
--- /dev/null
+++ b/internal/transport/gateway/peers_test.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+)
+
+// copyingEntry lends an attempt to its first caller only, and writes that answer once more
+// where the second one on the connection is due.
+func copyingEntry(t *testing.T, hasID bool) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		lent := ""
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			reader := bufio.NewReader(conn)
+			for count := 0; ; count++ {
+				request, err := http.ReadRequest(reader)
+				if err != nil {
+					break
+				}
+				head := "HTTP/1.1 200 X\r\n"
+				if hasID {
+					head += "Call-Id: " + request.Header.Get("Call-Id") + "\r\n"
+				}
+				body := fmt.Sprintf(`{"lent":%t}`, lent == "")
+				answer := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+				if lent == "" {
+					lent = answer
+				} else if count == 1 {
+					answer = lent + answer
+				}
+				_, _ = io.WriteString(conn, answer)
+			}
+			_ = conn.Close()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// TestCallIsNotAnsweredByACopiedAnswer guards against an attempt at a target with a limit that
+// counts as lent twice.
+func TestCallIsNotAnsweredByACopiedAnswer(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		hasID bool
+	}{{"entry that names the call", true}, {"entry of a version that does not", false}} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			address := "http://" + copyingEntry(t, tt.hasID) + pathLoan
+			p := newEntryPeers("127.0.0.1:1", hclog.NewNullLogger())
+			for n := range 3 {
+				var reply loanReply
+				err := p.call(t.Context(), http.MethodPost, address, &reply)
+				c.Check(reply.Lent, qt.Equals, n == 0)
+				c.Check(err == nil, qt.Equals, n != 1, qt.Commentf("call %d: %v", n, err))
+			}
+		})
+	}
+}
