Fencing numbers rise after a restore, and a lost expert map does not stop changes

Cause: a coordinator's fencing number was the version of its lease. In a store that is restored from a copy versions go back, so that the ranks refused every order of the next holder until versions had passed the old ones; a version given out twice could have given two holders one number. A new holder also waited without end for the stored map that is in force, if the store had lost it.

Change: the number is made of the store's generation and the version. A map that a restored store does not have is planned from the default one; a change names all replicas.

--- a/internal/protocol/platform/generation_test.go
+++ b/internal/protocol/platform/generation_test.go
@@ -97,3 +97,18 @@
 	c.Check(<-queries, qt.Equals, "0")
 	server.CloseClientConnections()
 }
+
+// TestPositionsRiseAfterARestore checks the order of positions, and of the fences that
+// they give.
+func TestPositionsRiseAfterARestore(t *testing.T) {
+	ascending := []Position{{0, 0}, {0, 1}, {0, 1 << 30}, {1, 1}, {1, 7}, {2, 0}, {400, 3}}
+	for n, p := range ascending {
+		for k, other := range ascending {
+			c := qt.New(t)
+			c.Check(p.After(other), qt.Equals, n > k, qt.Commentf("%v, %v", p, other))
+			c.Check(p.Fence() > other.Fence(), qt.Equals, n > k, qt.Commentf("%v, %v", p, other))
+		}
+	}
+	c := qt.New(t)
+	c.Check(Position{Generation: anyGeneration, Version: 7}.Fence(), qt.Equals, int64(7))
+}
--- a/internal/transport/rankgroup/coordinator.go
+++ b/internal/transport/rankgroup/coordinator.go
@@ -52,7 +52,7 @@
 	leaseKey = "groups/%s/lease"
 )
 
-// lease is the stored object that names a group's coordinator. Its version at
+// lease is the stored object that names a group's coordinator. Its position at
 // acquisition determines the coordinator's fencing numbers.
 type lease struct {
 	Agent       string `json:"agent"`
@@ -140,7 +140,7 @@
 		return
 	}
 	c.holdsLease, c.leasePosition = true, p
-	c.fence, c.proposals = int64(p.Version), 0
+	c.fence, c.proposals = p.Fence(), 0
 	c.switcher = switchover.NewCoordinator(c.fence, c.group.settings.Ranks)
 	c.currentMap, c.nextMap = nil, nil
 	event.LeaseAcquired.Log(c.group.log, "group", c.group.settings.Group, "fence", c.fence)
@@ -270,6 +270,12 @@
 		return true
 	}
 	o, err := c.group.member.Platform().Get(fmt.Sprintf(mapKey, c.group.settings.Group, version))
+	if errors.Is(err, platform.ErrNotFound) && o.Position.Generation > 0 {
+		// A restored store has lost the map. Improvements are planned from the default
+		// one, and each change names all replicas.
+		event.MapNotStored.Log(c.group.log, "group", c.group.settings.Group, "version", version)
+		return true
+	}
 	if err != nil {
 		c.currentMap = nil
 		return false
