Claims of an agent that died or is paused are written again by another agent

Cause: only the agent that had written a claim kept it, so that after a restore nobody wrote it again if that agent had died, had started again or was paused, and a repeat of the request ran.

Change: each agent copies its new claims to another agent every 100 ms, by rendezvous hashing as for refusals, which keeps them for a minute and writes them again after a restore.

Measured: TestLostClaimOfADeadAgentDoesNotLetARequestRunTwice failed before in its three cases (killed, killed and started again, paused): ten of ten requests ran twice. Now each ran once; repeats are refused, since the answers are gone.

--- a/cmd/standin/restore_claims_test.go
+++ b/cmd/standin/restore_claims_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"bluebellcrank/internal/state/target"
 )
 
 // lostClaims is the number of requests whose claims the platform loses.
@@ -13,8 +16,9 @@
 
 // ringThroughARestore sends requests whose claims the platform acknowledges and then
 // loses, and repeats them, the first time after a quiet period, until each is answered.
-// It returns how often each has run, and those that were not answered in time.
-func ringThroughARestore(t *testing.T, f *fleet, quiet time.Duration) (runCounts map[string]int, unanswered []string) {
+// The disturbance comes just before the restore. It returns how often each has run, and
+// those that were not answered in time.
+func ringThroughARestore(t *testing.T, f *fleet, quiet time.Duration, disturb func()) (runCounts map[string]int, unanswered []string) {
 	// maxUnanswered is the longest time without an answer after the restore.
 	const maxUnanswered = 10 * time.Second
 	ring := func(label string, entry int) bool {
@@ -32,6 +36,7 @@
 			t.Fatalf("%s was not answered before the restore", label)
 		}
 	}
+	disturb()
 	must(t, restoreStore(f, restoreOptions{EndWatches: quiet > 0}))
 	time.Sleep(quiet)
 	restoredAt := time.Now()
@@ -47,7 +52,7 @@
 	}
 	t.Logf("%d not answered %s after the first repeat", len(unanswered), time.Since(restoredAt).Round(10*time.Millisecond))
 	runCounts = map[string]int{}
-	for _, id := range []string{"bells-1", "bells-2"} {
+	for _, id := range []string{"bells-1", "bells-2", "bells-3"} {
 		for _, r := range f.readRunLog(id) {
 			if r.Path == "/ring" {
 				runCounts[r.Label]++
@@ -73,9 +78,10 @@
 func TestLostClaimDoesNotLetARequestRunTwice(t *testing.T) {
 	for _, quiet := range []time.Duration{0, 2 * time.Second} {
 		t.Run(fmt.Sprintf("first repeat after %s", quiet), func(t *testing.T) {
+			t.Parallel()
 			c := qt.New(t)
 			f, _ := restoreFleet(t, "")
-			runCounts, unanswered := ringThroughARestore(t, f, quiet)
+			runCounts, unanswered := ringThroughARestore(t, f, quiet, func() {})
 			c.Check(runCounts, qt.HasLen, lostClaims)
 			c.Check(repeated(runCounts), qt.HasLen, 0)
 			c.Check(unanswered, qt.HasLen, 0)
@@ -83,13 +89,45 @@
 	}
 }
 
+// TestLostClaimOfADeadAgentDoesNotLetARequestRunTwice kills or pauses the agent that has
+// run the requests, before the platform loses their claims.
+func TestLostClaimOfADeadAgentDoesNotLetARequestRunTwice(t *testing.T) {
+	// copied is enough time for an agent to copy its claims to a peer.
+	const copied = 500 * time.Millisecond
+	tests := []struct {
+		name    string
+		disturb func(f *fleet, i target.Instance)
+	}{
+		{"killed", func(f *fleet, i target.Instance) { f.proc(i.ID).kill() }},
+		{"killed and started again", func(f *fleet, i target.Instance) {
+			f.proc(i.ID).kill()
+			must(t, f.startAgent(i))
+		}},
+		{"paused", func(f *fleet, i target.Instance) { f.proc(i.ID).signal(syscall.SIGSTOP) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			f, _ := restoreFleet(t, "")
+			must(t, f.addTarget("bells-3", "bells", "east"), f.publishInstances(), f.waitReady("entry-1", "bells"))
+			runCounts, _ := ringThroughARestore(t, f, 0, func() {
+				time.Sleep(copied)
+				tt.disturb(f, f.instance("bells-1"))
+			})
+			c.Check(runCounts, qt.HasLen, lostClaims)
+			c.Check(repeated(runCounts), qt.HasLen, 0)
+		})
+	}
+}
+
 // TestTwinThatReliesOnLostClaims shows that the check detects agents that rely on claims
 // right after a restore.
 func TestTwinThatReliesOnLostClaims(t *testing.T) {
 	const maxAttempts = 3
 	for range maxAttempts {
 		f, _ := restoreFleet(t, "settled")
-		runCounts, _ := ringThroughARestore(t, f, 0)
+		runCounts, _ := ringThroughARestore(t, f, 0, func() {})
 		f.killAll()
 		if r := repeated(runCounts); len(r) > 0 {
 			t.Logf("the checker noticed: %s", r[0])
--- a/cmd/standin/restore_keys_test.go
+++ b/cmd/standin/restore_keys_test.go
@@ -36,6 +36,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			c := qt.New(t)
 			f, folder := restoreFleet(t, "")
 			must(t, os.WriteFile(filepath.Join(folder, "20.yaml"), []byte(withGuest()), 0o644))
--- a/cmd/standin/restore_maps_test.go
+++ b/cmd/standin/restore_maps_test.go
@@ -30,6 +30,7 @@
 	)
 	for _, isHolderKilled := range []bool{false, true} {
 		t.Run(fmt.Sprintf("holder killed: %t", isHolderKilled), func(t *testing.T) {
+			t.Parallel()
 			c := qt.New(t)
 			f := groupFleet(t)
 			mapCount := func() int {
--- a/internal/coordination/claim/kept.go
+++ b/internal/coordination/claim/kept.go
@@ -12,12 +12,12 @@
 
 // Entry is a record with the name of the object that stores it.
 type Entry struct {
-	Key    string
-	Record Record
+	Key    string `json:"key"`
+	Record Record `json:"record"`
 }
 
-// Kept contains the records that an agent has written in the last minute, to write them
-// again if the platform loses them. It is not safe for concurrent use.
+// Kept contains the records that an agent, or one whose backup it is, has written in the
+// last minute, to write them again if the platform loses them. It is not safe for concurrent use.
 type Kept struct {
 	byAttempt map[string]keptEntry
 	expiredAt time.Time
--- a/internal/protocol/peer/message.go
+++ b/internal/protocol/peer/message.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bluebellcrank/internal/coordination/claim"
 	"bluebellcrank/internal/coordination/membership"
 	"bluebellcrank/internal/state/config"
 	"bluebellcrank/internal/state/refusal"
@@ -19,6 +20,7 @@
 	MethodConfirm  = "attempt.confirm"   // AttemptRef, a notification: the caller has the whole answer
 	MethodKeep     = "refusal.keep"      // KeepRefusals, a notification
 	MethodWritten  = "refusal.written"   // WrittenRefusals, a notification
+	MethodClaims   = "claim.keep"        // KeepClaims, a notification
 	MethodSuspect  = "suspect.spread"    // Suspect -> Empty
 	MethodStatus   = "process.status"    // Empty -> Status
 	MethodDump     = "process.dump"      // Empty -> Dump
@@ -125,6 +127,12 @@
 	Refusals []refusal.Refusal `json:"refusals"`
 }
 
+// KeepClaims asks an agent to keep copies of another agent's claims, to write them again
+// if the platform loses them and that agent does not.
+type KeepClaims struct {
+	Claims []claim.Entry `json:"claims"`
+}
+
 // WrittenRefusals lists refusals that a process has written, so that the peer can
 // delete its copies.
 type WrittenRefusals struct {
--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -59,6 +59,7 @@
 	closedAttempts    map[string]closedAttempt
 	suspects          *retry.Suspects
 	keptClaims        *claim.Kept
+	newClaims         []claim.Entry // not yet copied to another agent
 	isLeaving         bool
 	isListed          bool
 	isTargetUp        bool
@@ -118,6 +119,7 @@
 	a.member.Start()
 	go a.pollLoad()
 	go a.watchConnection()
+	go process.Every(claimCopyInterval, a.stop, a.copyNewClaims)
 	go process.Every(tickInterval, a.stop, func(time.Time) { a.member.Loop().Post(a.tick) })
 	go func() {
 		if err := a.server.Serve(l.Traffic); err != nil {
--- a/internal/transport/agent/methods.go
+++ b/internal/transport/agent/methods.go
@@ -25,6 +25,14 @@
 		a.member.Loop().Post(func(time.Time) { a.confirmDelivery(r) })
 		return peer.Empty{}, nil
 	})
+	peer.Handle(m, peer.MethodClaims, func(_ context.Context, k peer.KeepClaims) (peer.Empty, error) {
+		a.member.Loop().Post(func(now time.Time) {
+			for _, e := range k.Claims {
+				a.keptClaims.Add(e, now)
+			}
+		})
+		return peer.Empty{}, nil
+	})
 	if a.settings.Ranks.Group != "" {
 		peer.Handle(m, rankgroup.Method, func(ctx context.Context, c rankgroup.Call) (rankgroup.Reply, error) {
 			return a.group.HandleCall(ctx, c)
--- a/internal/transport/agent/rewrite.go
+++ b/internal/transport/agent/rewrite.go
@@ -5,9 +5,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
+
 	"bluebellcrank/internal/coordination/claim"
+	"bluebellcrank/internal/coordination/revision"
+	"bluebellcrank/internal/protocol/peer"
 	"bluebellcrank/internal/protocol/platform"
 	"bluebellcrank/internal/state/event"
+	"bluebellcrank/internal/state/target"
 	"bluebellcrank/internal/transport/process"
 )
 
@@ -16,12 +21,34 @@
 	rewriteWorkers = 8
 	// rewriteDelay is the delay before a claim is written once more.
 	rewriteDelay = 200 * time.Millisecond
+	// claimCopyInterval is the time between two copies of new claims to another agent.
+	claimCopyInterval = 100 * time.Millisecond
 )
 
 // keepClaim keeps the claim of a job, to write it again if the platform loses it.
 func (a *Agent) keepClaim(j *job, r claim.Record) {
 	e := claim.Entry{Key: claim.Key(j.envelope.Service(), j.envelope.Account(), j.envelope.Key()), Record: r}
-	a.member.Loop().Post(func(now time.Time) { a.keptClaims.Add(e, now) })
+	a.member.Loop().Post(func(now time.Time) {
+		a.keptClaims.Add(e, now)
+		a.newClaims = append(a.newClaims, e)
+	})
+}
+
+// copyNewClaims copies the claims since the last copy to another agent, so that they are
+// written again even if this one has died or is paused when the platform loses them.
+func (a *Agent) copyNewClaims(time.Time) {
+	claims := process.Call(a.member.Loop(), func(time.Time) []claim.Entry {
+		out := a.newClaims
+		a.newClaims = nil
+		return out
+	})
+	if len(claims) == 0 {
+		return
+	}
+	agents := lo.Filter(a.member.Instances(), func(i target.Instance, _ int) bool { return i.Role == target.Agent })
+	if i, found := revision.BackupPeer(a.settings.Instance, agents); found {
+		_ = peer.Notify(a.member.Pool(), i.Peer, peer.MethodClaims, peer.KeepClaims{Claims: claims})
+	}
 }
 
 // isInForce reports whether a claim at a position may be relied on. It must be called
