An attempt whose answer cannot be fetched may have run

What callers could see: on the own interface a request without a key ran at two targets, or was answered "not run" although it ran.

Cause: a request for the answer of an attempt that the agent had taken could not be sent, since the agent accepted no connection. That error was taken for one of the attempt itself, which then counted as not sent.

Change: only the error of the first send means that the attempt was not sent. A request for its answer that is not sent is repeated after the usual delay, until the agent tells what became of the attempt or the deadline passes.

--- a/internal/transport/entry/resolve.go
+++ b/internal/transport/entry/resolve.go
@@ -14,6 +14,10 @@
 // resolve follows an attempt until the head of its answer arrives or its outcome is
 // known. After a lost connection it queries the agent and attaches to the answer.
 func (e *Entry) resolve(c *call, t targetAttempt, reply *attempt.Reply, err error) targetAttempt {
+	if errors.Is(err, attempt.ErrNotSent) {
+		t.candidate.ClearReport()
+		return e.notRun(c, t, refusal.TargetDown, "no connection to the agent")
+	}
 	for {
 		if err == nil {
 			next, attach := e.readHead(c, t, reply)
@@ -24,9 +28,9 @@
 			reply, err = e.client.Attach(t.source.trafficAddress, t.source.attemptID, t.source.incarnation, 0)
 			continue
 		}
-		if errors.Is(err, attempt.ErrNotSent) && t.source.attemptID == t.id {
-			t.candidate.ClearReport()
-			return e.notRun(c, t, refusal.TargetDown, "no connection to the agent")
+		if errors.Is(err, attempt.ErrNotSent) {
+			// The request for the answer was not sent; the attempt was.
+			time.Sleep(resumeRetryDelay)
 		}
 		var settled bool
 		t, settled = e.settle(c, t)
