The report after an order comes on a connection of its own

What could happen: the ranks of a group use two maps (MAP).

Cause: the same as of an order that ran twice. Reports name nothing, and one from before an order came again on the kept connection: an armed rank counted as undone, and the held step was released.

Change: what decides in a change of the map, the report after each order or query, and the list of experts, is read on connections of their own. The regular samples, and the wait for a load, which an older report only prolongs, keep their connections.

Measured: TestCopiedReportSplitsNoGroup failed before in 5 of 5 runs (step 12 released while the ranks were armed as 0, 5 and 0), and passes in 5 of 5 with the race detector.

--- a/internal/transport/rankagent/agent.go
+++ b/internal/transport/rankagent/agent.go
@@ -130,9 +130,19 @@
 	return guardedPeers, guardedOperator
 }
 
-// readReport reads and records the state of the rank beside this agent.
+// sampleReport reads and records the state of the rank beside this agent, which may be that of
+// an earlier sample.
+func (a *Agent) sampleReport(ctx context.Context, now time.Time) (expert.RankReport, error) {
+	return a.recordReport(ctx, a.engine.Sample, now)
+}
+
+// readReport reads and records the present state of the rank beside this agent.
 func (a *Agent) readReport(ctx context.Context, now time.Time) (expert.RankReport, error) {
-	r, err := a.engine.Report(ctx)
+	return a.recordReport(ctx, a.engine.Report, now)
+}
+
+func (a *Agent) recordReport(ctx context.Context, read func(context.Context) (expert.RankReport, error), now time.Time) (expert.RankReport, error) {
+	r, err := read(ctx)
 	if err == nil {
 		a.own.record(r, now)
 	}
@@ -146,7 +156,7 @@
 	if !grant.granted {
 		return sampleReply{Holder: grant.holder}, nil
 	}
-	report, err := a.readReport(ctx, time.Now())
+	report, err := a.sampleReport(ctx, time.Now())
 	if err != nil {
 		return sampleReply{}, err
 	}
@@ -209,7 +219,7 @@
 	const checkInterval = 10 * time.Millisecond
 	for end := time.Now().Add(maxPrepareWait); out.Report != nil && out.Report.Prepared < r.Order.Version && time.Now().Before(end); {
 		time.Sleep(checkInterval)
-		report, err := a.readReport(ctx, time.Now())
+		report, err := a.sampleReport(ctx, time.Now())
 		if err != nil {
 			event.EngineUnreachable.Log(a.log, "error", err.Error())
 			return out, nil
