--- a/internal/transport/rankagent/copiedreport_test.go
+++ b/internal/transport/rankagent/copiedreport_test.go
@@ -28,7 +28,7 @@
 
 	mu                              sync.Mutex
 	prepared, armed, held, released int64
-	conns, reads                    int
+	reads                           int
 	bothRead                        chan struct{}
 }
 
