Proof that requests run at most once through restores of the store

Cause: the tests of lost claims played one restore each, without other faults.

Change: a restore from a copy is a fault of the chaos tests; TestProveOnceThroughRestores draws it as often as all others together, and repeats all requests at both entries in the end. TestProveOnceTrueWhole keeps its schedules.

--- a/cmd/standin/chaos_test.go
+++ b/cmd/standin/chaos_test.go
@@ -151,6 +151,7 @@
 	connectionsCut
 	connectionsSilenced
 	streamsCut
+	platformRestored
 )
 
 var allChaosFaults = []chaosFault{
@@ -196,6 +197,11 @@
 			t.Logf("%s the open connections to %s (%s)", action, bells, p)
 			must(t, f.postJSON("http://"+f.relayControls["relay-"+p+"-"+bells]+"/"+action, nil))
 		}
+	case platformRestored:
+		t.Log("platform restored from a copy")
+		must(t, copyStore(f))
+		time.Sleep(time.Duration(rnd.Int64N(int64(faultPeriod))))
+		must(t, restoreStore(f, restoreOptions{EndWatches: rnd.IntN(2) == 0}))
 	case streamsCut:
 		t.Log("cut the streams of both advisors")
 		for _, a := range []string{"advisor-1", "advisor-2"} {
--- a/cmd/standin/restore_claims_test.go
+++ b/cmd/standin/restore_claims_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -136,3 +138,41 @@
 	}
 	t.Fatalf("the checker noticed nothing in %d runs", maxAttempts)
 }
+
+// TestProveOnceThroughRestores checks the guarantees of TestProveOnceTrueWhole while the
+// platform is restored from copies beside other faults. In the end all requests that may
+// run once are repeated at both entries.
+func TestProveOnceThroughRestores(t *testing.T) {
+	for _, seed := range seeds(2) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			c := qt.New(t)
+			f := chaosFleet(t, "", "")
+			faults := slices.Clone(allChaosFaults)
+			for range allChaosFaults {
+				faults = append(faults, platformRestored)
+			}
+			o := runChaos(t, f, seed, faults)
+			time.Sleep(settleTime)
+			var wg sync.WaitGroup
+			for caller := range chaosCallers {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					for round := range chaosRoundsPerCaller {
+						label := fmt.Sprintf("order-%d-%d", caller, round)
+						for _, entry := range []string{"entry-1", "entry-2"} {
+							got, _ := f.send(entry, "POST", "/bells/ring", fmt.Sprintf(`{"token":%q}`, label), map[string]string{"Idempotency-Key": label, "Request-Timeout-Ms": "1500"})
+							o.add(outcome{path: "/ring", label: label, want: plainAnswer(label), got: got})
+						}
+					}
+				}()
+			}
+			wg.Wait()
+			v := findViolations(f, o)
+			c.Check(v.repeatedRuns, qt.HasLen, 0)
+			c.Check(v.wrongEffects, qt.HasLen, 0)
+			c.Check(v.wrongAnswers, qt.HasLen, 0)
+			t.Logf("seed %d: served %d, refused %d, failed %d", seed, v.served, v.refused, v.failed)
+		})
+	}
+}
