All quarantined keys are written again, however many there are

What could happen: of more than 32 quarantined keys only 32 were back in a restored store, so that entries that start later do not know the others.

Cause: they went through the channel for new ones, which holds 32, before its only reader read it.

Change: the reader writes them directly.

Measured: TestAllQuarantinedKeysAreWrittenAgain got 32 of 40 before, and passes.

--- a/internal/transport/gateway/quarantinestore.go
+++ b/internal/transport/gateway/quarantinestore.go
@@ -40,7 +40,9 @@
 		generation, restored := q.store.Generation()
 		if generation != saved {
 			saved = generation
-			q.save(q.quarantined(process.BootTime()))
+			for _, k := range q.quarantined(process.BootTime()) {
+				q.repeat(ctx, func(ctx context.Context) error { return q.write(ctx, k) })
+			}
 		}
 		select {
 		case k := <-q.unsaved:
