Entries that register again are counted meanwhile

What could happen: for some 3 s after a restore an entry takes itself for the only one, and its shares of the common budgets and of the rates of cold targets are too large.

Cause: the first list of a restored store lacks entries that register again at the same time, and was taken as complete. Found by a review that had not seen the work.

Change: the first list after a restore is added to the one before; the second, 3 s later, replaces both.

--- a/internal/transport/gateway/entries.go
+++ b/internal/transport/gateway/entries.go
@@ -40,6 +40,8 @@
 // before it registers: after a restart the list still has the other entries.
 func (g *Gateway) maintainEntries(ctx context.Context) {
 	reads, justRegistered := 0, false
+	var before map[string]platform.Entry // the list from before the store was restored
+	var latest map[string]platform.Entry
 	var neighbour membership.Neighbour
 	backoff := housekeepingInterval
 	for ctx.Err() == nil {
@@ -57,7 +59,12 @@
 		case isListed:
 			reads, justRegistered = reads+1, false
 			backoff = housekeepingInterval
-			delay = g.applyEntries(ctx, list, reads, &neighbour)
+			latest = list
+			if reads == 1 {
+				// Those that are missing on the copy register at this time.
+				latest = lo.Assign(before, list)
+			}
+			delay = g.applyEntries(ctx, latest, reads, &neighbour)
 		default:
 			// A stale list would also lack the new registration.
 			reads = 0
@@ -78,6 +85,7 @@
 		case <-time.After(delay):
 		case <-restored:
 			reads = 0 // the registration may be lost, and a stale list would not tell
+			before = latest
 		case <-ctx.Done():
 		}
 	}
