Own interface: the age of a generation, and platforms that name none

What could happen: agents took claims for settled 2.7 s after a restore instead of 5 s, so that a request whose claim was lost could run twice; before a platform without generations each watcher of the configuration called 8,206 times a second.

Cause: a peer's report of how long it has known the generation was counted from the time of the request, and each exchange took off one way more. The first position of a watch counted as one of generation 0. Found by a review that had not seen the work.

Change: the report counts from its arrival; a watch begins at no position.

--- a/internal/transport/member/config.go
+++ b/internal/transport/member/config.go
@@ -35,7 +35,7 @@
 // while this process has a configuration and is not one of its data centre's watchers,
 // the few processes that read from the platform for the others.
 func (m *Member) watch() {
-	var position platform.Position
+	position := platform.Absent
 	for !m.isStopped() {
 		if m.Revision() > 0 && !revision.IsWatcher(m.settings.Instance, m.settings.DataCentre, m.Instances()) {
 			m.wait(watchRetryDelay)
--- a/internal/transport/member/exchange.go
+++ b/internal/transport/member/exchange.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return
 	}
-	m.learnGeneration(reply, requestedAt)
+	m.learnGeneration(reply, time.Now())
 	m.compareLists(i, reply, requestedAt)
 	if reply.Revision > m.Revision() && m.pull(i.Peer) != nil {
 		return
