TestSoakSeries: the store goes back as the other faults end

Change: the store goes back in the last 3 s, and any entry may be the one that is paused, for 1 to 5 s.

--- a/cmd/standin/soak_series_test.go
+++ b/cmd/standin/soak_series_test.go
@@ -38,7 +38,7 @@
 	// while they are undisturbed.
 	minProbes = 50
 	// drillPeriod is how long before the end storeRestored begins.
-	drillPeriod = 5 * time.Second
+	drillPeriod = 3 * time.Second
 	// routeLifetime is the age from which the next version drops a route.
 	routeLifetime = 4 * time.Second
 )
@@ -258,7 +258,7 @@
 		defer s.anyFault.begin(e)()
 	}
 	var pausing sync.WaitGroup
-	e, pause := s.randomVictim(r), randomDuration(r, 200*time.Millisecond, 5*time.Second)
+	e, pause := randomEntry(s.soakRun, r), randomDuration(r, time.Second, 5*time.Second)
 	pausing.Go(func() { s.pauseEntry(e, pause) })
 	s.restoreStore(copied, r, s.changeConfiguration)
 	pausing.Wait()
