Upstream: conditions of a kept connection by name

A reader had to find out why hashes suffice, and what five conditions in a row mean. Measured: the tests of the package.

--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -59,7 +59,8 @@
 	// limit limits what reader may read.
 	limit  *limitedReader
 	reader *bufio.Reader
-	// carried has the hashes of the ids of all requests that the connection has carried.
+	// carried has the hashes of the ids of all requests that the connection has carried. Equal
+	// hashes of two ids cost a new connection.
 	carried []uint64
 	// lastUsed is when the connection was last returned to the pool; zero if never.
 	lastUsed time.Time
@@ -90,10 +91,16 @@
 	return ConnInfo{local: c.LocalAddr().String(), requests: len(c.carried)}
 }
 
-// mayCarry reports whether a response can be told from those to the connection's earlier
-// requests by the id of its request. A response to an earlier request may come again.
+// mayCarry reports whether a response to another request can be told by its id from those to
+// the connection's earlier requests, which may come again.
 func (c *conn) mayCarry(id string) bool {
-	return len(c.carried) == 0 || id != "" && !slices.Contains(c.carried, xxhash.Sum64String(id))
+	return id != "" && !slices.Contains(c.carried, xxhash.Sum64String(id))
+}
+
+// hasRoom reports whether the connection may carry another request, and nothing waits to be
+// read from it.
+func (c *conn) hasRoom() bool {
+	return len(c.carried) < maxRequestsPerConn && c.reader.Buffered() == 0
 }
 
 // abort closes a connection whose request got no complete response. It resets
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -103,7 +103,7 @@
 }
 
 // isAnsweredBy reports whether a response belongs to the request and not to an earlier one.
-// isFirst is set for the first response on its connection.
+// isFirst is set for the first response on its connection, to which nothing else can have led.
 func (r *Request) isAnsweredBy(h http.Header, isFirst bool) bool {
 	if r.ReadID == nil {
 		return true
@@ -266,7 +266,7 @@
 		res.conn.abort()
 		return
 	}
-	if !notCancelled || !res.reusable || res.Response.Close || res.conn.reader.Buffered() > 0 || len(res.conn.carried) >= maxRequestsPerConn {
+	if !notCancelled || !res.reusable || res.Response.Close || !res.conn.hasRoom() {
 		_ = res.conn.Close()
 		return
 	}
