Known red: a removed key that no entry has read before a restore

Found by a review that had not seen the work. Where the only entries that could know were cut off when the key was removed, nobody can tell that a restored store has lost it.

--- a/internal/transport/gateway/restored_test.go
+++ b/internal/transport/gateway/restored_test.go
@@ -277,3 +277,25 @@
 		}
 	}
 }
+
+// TestRemovedKeyThatNoEntryKnows has the only entry cut off when a key is removed, until the
+// store is restored from before.
+func TestRemovedKeyThatNoEntryKnows(t *testing.T) {
+	env := newTestEnv(t)
+	env.addTarget(&standin.Target{ID: "t-0"}, "t-0", "bells")
+	env.configure(removedKey, order)
+	env.eventually("the key is known", func() bool { return env.gateway.follower.Table().Account(removedKey) != nil })
+	copied := env.store.Copy()
+	env.storeBlocked.Store(true)
+	env.silenceStore()
+	time.Sleep(500 * time.Millisecond)
+	env.configure(testKey, order)
+	time.Sleep(env.settings.Load().Bounds.RevocationTimeout)
+	env.store.Restore(copied)
+	env.storeBlocked.Store(false)
+	for end := time.Now().Add(balance.ExpiryPeriod); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		q := env.request(order, "a-1", "strike")
+		q.Header.Set("Authorization", "Token "+removedKey)
+		env.c.Assert(env.do(q).status, qt.Not(qt.Equals), http.StatusOK)
+	}
+}
