Claims that were written last are written again first

What could happen: at a slow platform an agent with many claims of the last minute had not written those again that the copy lacked, the newest, when claims counted as settled; requests with these keys ran twice.

Cause: they were written in the order of a map.

Change: the newest come first. What settles is still a matter of time, not of the end of the rewrite; that stays open (postmortem).

--- a/internal/coordination/claim/kept.go
+++ b/internal/coordination/claim/kept.go
@@ -1,6 +1,12 @@
 package claim
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+)
 
 const (
 	// keepPeriod is how long a record is kept. A store that is restored may lose what was
@@ -48,11 +54,9 @@
 // Remove removes the record of an attempt that never runs.
 func (k *Kept) Remove(attempt string) { delete(k.byAttempt, attempt) }
 
-// Entries returns the records that are kept.
+// Entries returns the records that are kept, those first that were written last: a copy of the
+// store lacks these.
 func (k *Kept) Entries() []Entry {
-	out := make([]Entry, 0, len(k.byAttempt))
-	for _, e := range k.byAttempt {
-		out = append(out, e.entry)
-	}
-	return out
+	kept := slices.SortedFunc(maps.Values(k.byAttempt), func(a, b keptEntry) int { return b.keptAt.Compare(a.keptAt) })
+	return lo.Map(kept, func(e keptEntry, _ int) Entry { return e.entry })
 }
