Test: a route is known once a request on it is routed

By its log it had applied the version 1.59 s after the acknowledgement, and answered 503 "no-target" on the route from then on: deadly requests had ended all targets of the service. The test took any answer but 200 for a route that is not known.

An entry that does not know the route answers 404 or "not-ready". The test now takes "no-target" on the route for knowing it; the bound is as before.

--- a/cmd/standin/crash_test.go
+++ b/cmd/standin/crash_test.go
@@ -276,7 +276,7 @@
 	var checks sync.WaitGroup
 	for _, e := range c.entries {
 		checks.Go(func() {
-			for c.statusOf(e, "/added/x") != http.StatusOK && time.Since(acknowledged) < 2*crashWindow {
+			for !c.knowsRoute(e, "/added/x") && time.Since(acknowledged) < 2*crashWindow {
 				time.Sleep(20 * time.Millisecond)
 			}
 			took := time.Since(acknowledged)
@@ -287,15 +287,17 @@
 	checks.Wait()
 }
 
-// statusOf returns the status of a sound request on a new connection to an entry.
-func (c *crashRun) statusOf(e *soakEntry, path string) int {
+// knowsRoute sends a sound request on a new connection to an entry, and reports whether it is
+// served, or refused because no target of its service is left.
+func (c *crashRun) knowsRoute(e *soakEntry, path string) bool {
 	client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(c.newRequest(soakAttempt{id: fmt.Sprintf("c-%d", c.lastAttempt.Add(1)), apiKey: soakKey}, e.trafficAddress, path, "sound"))
 	if err != nil {
-		return 0
+		return false
 	}
-	_ = response.Body.Close()
-	return response.StatusCode
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return err == nil && (response.StatusCode == http.StatusOK || string(body) == "no-target\n")
 }
 
 // runDeadly sends deadly requests to the entries in turn for a time, one for each pause,
