--- a/cmd/standin/soak_series_test.go
+++ b/cmd/standin/soak_series_test.go
@@ -37,8 +37,8 @@
 	// minProbes is how many probes of routes a run needs at least: entries are probed only
 	// while they are undisturbed.
 	minProbes = 50
-	// drillPeriod is how long before the end storeRestored begins.
-	drillPeriod = 3 * time.Second
+	// restorePeriod is how long before the end storeRestored begins.
+	restorePeriod = 3 * time.Second
 	// routeLifetime is the age from which the next version drops a route.
 	routeLifetime = 4 * time.Second
 )
@@ -54,9 +54,9 @@
 // use their open connections until the entry closes them.
 type seriesSoak struct {
 	*soakRun
-	// kinds are the kinds of faults that are injected, and hasDrill adds storeRestored.
-	kinds    []seriesFault
-	hasDrill bool
+	// kinds are the kinds of faults that are injected, and hasRestore adds storeRestored.
+	kinds      []seriesFault
+	hasRestore bool
 	// anyFault has the times in which an entry does not run as usual, and aborts those
 	// in which it may leave requests without an answer.
 	anyFault, aborts disturbances
@@ -275,10 +275,10 @@
 		time.Sleep(outagesAt)
 		storeOutages.inject(s, r)
 	})
-	if s.hasDrill {
+	if s.hasRestore {
 		r := rand.New(rand.NewPCG(s.random.Uint64(), 2))
 		all.Go(func() {
-			time.Sleep(time.Until(until) - drillPeriod)
+			time.Sleep(time.Until(until) - restorePeriod)
 			storeRestored.inject(s, r)
 		})
 	}
@@ -408,7 +408,7 @@
 func TestSoakSeries(t *testing.T) {
 	for _, seed := range seeds(1) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			s := &seriesSoak{soakRun: newSoakRun(t, seed, soakRevocationLimit), kinds: append(slices.Clone(seriesFaults), copiedRefusals), hasDrill: true}
+			s := &seriesSoak{soakRun: newSoakRun(t, seed, soakRevocationLimit), kinds: append(slices.Clone(seriesFaults), copiedRefusals), hasRestore: true}
 			until := time.Now().Add(seriesSoakPeriod)
 			var running sync.WaitGroup
 			running.Go(func() { s.runOpenConnections(until) })
