--- /dev/null
+++ b/internal/transport/follower/history_test.go
@@ -0,0 +1,42 @@
+package follower
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"bluebellcrank/internal/state/fleet"
+	"bluebellcrank/platform"
+)
+
+// TestListsAreBoundedWhileTheHistoryIsGone guards against lists that follow each other at once.
+func TestListsAreBoundedWhileTheHistoryIsGone(t *testing.T) {
+	const maxCalls = 50
+	var calls atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		if r.URL.Query().Has("watch") {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		_, _ = w.Write([]byte(`{"entries":[],"hasMore":false,"at":5}`))
+	}))
+	defer server.Close()
+	f := New(platform.NewStore(strings.TrimPrefix(server.URL, "http://")), Sink{
+		ReplaceTargets: func([]fleet.Target, time.Time) {}, ApplyChanges: func([]fleet.Change, time.Time) {},
+		SetOutOfService: func(map[string]bool, time.Time) {}, MergeTargets: func([]fleet.Target, time.Time) {},
+		MergeOutOfService: func(map[string]bool, time.Time) {},
+		AppliedVersion:    func(context.Context) (int64, error) { return 0, nil },
+	}, func() Limits { return Limits{DrainPeriod: time.Second, ConfirmationLifetime: 4 * time.Second} }, hclog.NewNullLogger())
+	time.Sleep(time.Second)
+	n := calls.Load()
+	f.Close()
+	qt.Check(t, n < maxCalls, qt.IsTrue, qt.Commentf("%d calls in a second", n))
+}
