Tests keep the ports of processes that are down

Cause: targets of the crash tests had ports of the ephemeral range, which the kernel gives to other tests' listeners and connections while a target is down.

Change: freeAddress reserves each port by an abstract Unix socket, whose name only one process may have, until the process ends. The crash tests take their ports there, too.

--- a/cmd/standin/crash_test.go
+++ b/cmd/standin/crash_test.go
@@ -89,10 +89,9 @@
 
 // addTarget starts a target of a service and lists it.
 func (c *crashRun) addTarget(service string) *crashTarget {
-	// The listener stays open, so that no other test gets the port.
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	t := &crashTarget{run: c, service: service, address: freeAddress()}
+	l, err := net.Listen("tcp", t.address)
 	c.c.Assert(err, qt.IsNil)
-	t := &crashTarget{run: c, service: service, address: l.Addr().String()}
 	c.mu.Lock()
 	t.target.ID = fmt.Sprintf("%s-crash-%d", service, len(c.targets))
 	c.targets = append(c.targets, t)
@@ -104,8 +103,8 @@
 	return t
 }
 
-// restart listens at the target's address again. A connection of another test may have
-// the port for a moment.
+// restart listens at the target's address again, which the listener of before may hold for
+// a moment.
 func (t *crashTarget) restart() {
 	var l net.Listener
 	var err error
--- a/cmd/standin/fleet.go
+++ b/cmd/standin/fleet.go
@@ -71,7 +71,7 @@
 }
 
 // The ports of a fleet are below the kernel's ephemeral range, so that no
-// outgoing connection occupies one before its process listens on it.
+// outgoing connection occupies one while its process does not listen on it.
 const (
 	firstPort = 20_000
 	portCount = 12_000
@@ -82,17 +82,39 @@
 
 func init() { nextPort.Store(rand.Int64N(portCount)) }
 
-// freeAddress returns a loopback address on which nothing listens.
+// reservations has a socket for each port that freeAddress has returned. They are
+// closed with the process.
+var reservations struct {
+	mu      sync.Mutex
+	sockets []net.Listener
+}
+
+// freeAddress returns a loopback address on which nothing listens. No other call, of
+// this process or of others, returns its port until this process ends.
 func freeAddress() string {
 	for range portCount {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
-		if isFree(address) {
+		port := firstPort + nextPort.Add(1)%portCount
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if reservePort(port) && isFree(address) {
 			return address
 		}
 	}
 	panic("no free port")
 }
 
+// reservePort reserves a port for this process, and reports whether it was not reserved
+// yet. The reservation is an abstract Unix socket, whose name only one process may have.
+func reservePort(port int64) bool {
+	socket, err := net.Listen("unix", fmt.Sprintf("@bluebellcrank-port-%d", port))
+	if err != nil {
+		return false
+	}
+	reservations.mu.Lock()
+	defer reservations.mu.Unlock()
+	reservations.sockets = append(reservations.sockets, socket)
+	return true
+}
+
 // isFree reports whether a process may listen on an address.
 func isFree(address string) bool {
 	// A process that is forked meanwhile would keep the socket open until it runs its
