An entry that was out of touch at a restore waits before it serves keys

What callers could see: a key served more than 5 s after its removal was acknowledged, where no entry had read the removal when the store went back (TestRemovedKeyThatNoEntryKnows, known red until now).

Cause: the first list of a restored store confirmed the configuration also at an entry that had not heard from the store for longer than a confirmation lives. What it had missed was lost with the copy, so that nobody could tell. Entries that start believed such an entry.

Change: entries tell each other also whether the store has confirmed their configuration, and whether they wait. One whose confirmation had ended before a restore waits for another one with a valid confirmation, or for 4 s, the time in which the operator writes again. One that starts waits beside it.

--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -75,7 +75,7 @@
 	ConfigRewritten          = declare(1221, hclog.Warn, "configuration written again that the platform's objects had lost")
 	ConfigNotRewritten       = declare(1222, hclog.Warn, "configuration that the platform's objects have lost could not be written again, will retry")
 	MapNotStored             = declare(1223, hclog.Warn, "expert map in force is not stored: planning from the default one")
-	AppliedVersionUnknown    = declare(1216, hclog.Warn, "no other entry has told the newest version of the configuration: nothing is confirmed yet")
+	AppliedVersionUnknown    = declare(1216, hclog.Warn, "other entries have not told the newest version of the configuration: nothing is confirmed yet")
 	RequestEnded             = declare(2101, hclog.Info, "request ended")
 	SlowClientsClosed        = declare(2103, hclog.Info, "connections closed: request headers incomplete after the time limit")
 	Quarantined              = declare(2104, hclog.Warn, "quarantined: a request, or a part of prompts, crashes its targets")
--- a/internal/transport/follower/follower.go
+++ b/internal/transport/follower/follower.go
@@ -59,9 +59,9 @@
 	// MergeTargets and MergeOutOfService take the first lists of a restored store.
 	MergeTargets      func(targets []fleet.Target, now time.Time)
 	MergeOutOfService func(out map[string]bool, now time.Time)
-	// AppliedVersion returns the newest version of the configuration that other entries have
-	// applied; 0 if they know none, and an error if there are some but none has answered.
-	AppliedVersion func(ctx context.Context) (int64, error)
+	// Applied returns what other entries know of the configuration, and an error if there are
+	// some but none has answered.
+	Applied func(ctx context.Context) (Applied, error)
 }
 
 // Follower reads and watches the store until it is closed. It is safe for
@@ -89,9 +89,12 @@
 	// set after the first.
 	generation int64
 	hasRead    bool
-	// askUntil is the boot time until which nothing is confirmed before another entry has
-	// told the newest version; 0 once one has.
-	askUntil          time.Duration
+	// askUntil is the boot time until which nothing is confirmed before other entries have
+	// told the newest version; 0 once they have.
+	askUntil time.Duration
+	// isOutOfTouch is set if the store was restored while the configuration was no longer
+	// confirmed here, until another entry has confirmed it, or askUntil.
+	isOutOfTouch      atomic.Bool
 	targetsListed     atomic.Bool
 	evacuationsListed atomic.Bool
 	isUnreachable     atomic.Bool
@@ -140,9 +143,19 @@
 // read.
 func (f *Follower) Table() *routing.Table { return f.table.Load() }
 
-// KnownVersion returns the newest version of the configuration that this or another entry is
-// known to have applied; 0 if there is none.
-func (f *Follower) KnownVersion() int64 { return f.knownVersion.Load() }
+// Applied returns what this entry tells others of the configuration at a boot time.
+func (f *Follower) Applied(boot time.Duration) Applied {
+	return Applied{
+		Version:     f.knownVersion.Load(),
+		IsConfirmed: f.isConfirmed(boot),
+		IsWithheld:  f.isOutOfTouch.Load(),
+	}
+}
+
+// isConfirmed reports whether keys are served at a boot time.
+func (f *Follower) isConfirmed(boot time.Duration) bool {
+	return f.ConfirmationAge(boot) <= f.limits().ConfirmationLifetime
+}
 
 // ConfirmationAge returns the time between the latest confirmation that the
 // configuration is current and the given boot time.
@@ -274,36 +287,6 @@
 	}
 }
 
-// recordGeneration records that a list of the configuration comes from the start of this
-// process, or is the first since the store was restored. The store may then have lost a version
-// that removed keys, so that the other entries are asked for the newest one.
-func (f *Follower) recordGeneration(p platform.Position, now time.Duration) {
-	if f.hasRead && f.generation == p.Generation() {
-		return
-	}
-	if f.hasRead {
-		event.StoreRestored.Log(f.log, "generation", p.Generation(), "before", f.generation)
-	}
-	f.generation, f.hasRead = p.Generation(), true
-	f.storedVersion, f.askUntil = 0, now+balance.ExpiryPeriod
-}
-
-// askOthers learns the newest version that other entries have applied, and reports whether it
-// is known, or could not be learned in time.
-func (f *Follower) askOthers(ctx context.Context) bool {
-	if f.askUntil == 0 {
-		return true
-	}
-	version, err := f.sink.AppliedVersion(ctx)
-	if err != nil && process.BootTime() < f.askUntil {
-		event.AppliedVersionUnknown.Log(f.log, "error", err.Error())
-		return false
-	}
-	f.askUntil = 0
-	f.knownVersion.Store(max(f.knownVersion.Load(), version))
-	return true
-}
-
 // isLost reports whether the store lacks a version that was applied.
 func (f *Follower) isLost() bool { return f.storedVersion < f.knownVersion.Load() }
 
@@ -313,6 +296,9 @@
 	if f.isLost() {
 		age = 0 // no watch confirms anything until the version is written again
 	}
+	if f.isOutOfTouch.Load() {
+		return min(nextConfigWait(0, lifetime), max(minConfigWait, min(askInterval, f.askUntil-now)))
+	}
 	return nextConfigWait(age, lifetime)
 }
 
--- a/internal/transport/follower/history_test.go
+++ b/internal/transport/follower/history_test.go
@@ -29,14 +29,19 @@
 		_, _ = w.Write([]byte(`{"entries":[],"hasMore":false,"at":5}`))
 	}))
 	defer server.Close()
-	f := New(platform.NewStore(strings.TrimPrefix(server.URL, "http://")), Sink{
-		ReplaceTargets: func([]fleet.Target, time.Time) {}, ApplyChanges: func([]fleet.Change, time.Time) {},
-		SetOutOfService: func(map[string]bool, time.Time) {}, MergeTargets: func([]fleet.Target, time.Time) {},
-		MergeOutOfService: func(map[string]bool, time.Time) {},
-		AppliedVersion:    func(context.Context) (int64, error) { return 0, nil },
-	}, func() Limits { return Limits{DrainPeriod: time.Second, ConfirmationLifetime: 4 * time.Second} }, hclog.NewNullLogger())
+	f := newFollower(server, func(context.Context) (Applied, error) { return Applied{}, nil }, 4*time.Second)
 	time.Sleep(time.Second)
 	n := calls.Load()
 	f.Close()
 	qt.Check(t, n < maxCalls, qt.IsTrue, qt.Commentf("%d calls in a second", n))
 }
+
+// newFollower follows a store, with what other entries tell and the lifetime of confirmations.
+func newFollower(server *httptest.Server, others func(context.Context) (Applied, error), lifetime time.Duration) *Follower {
+	return New(platform.NewStore(strings.TrimPrefix(server.URL, "http://")), Sink{
+		ReplaceTargets: func([]fleet.Target, time.Time) {}, ApplyChanges: func([]fleet.Change, time.Time) {},
+		SetOutOfService: func(map[string]bool, time.Time) {}, MergeTargets: func([]fleet.Target, time.Time) {},
+		MergeOutOfService: func(map[string]bool, time.Time) {},
+		Applied:           others,
+	}, func() Limits { return Limits{DrainPeriod: time.Second, ConfirmationLifetime: lifetime} }, hclog.NewNullLogger())
+}
--- a/internal/transport/follower/restored.go
+++ b/internal/transport/follower/restored.go
@@ -1,6 +1,80 @@
 package follower
 
-import "time"
+import (
+	"context"
+	"time"
+
+	"bluebellcrank/internal/coordination/balance"
+	"bluebellcrank/internal/state/event"
+	"bluebellcrank/internal/transport/process"
+	"bluebellcrank/platform"
+)
+
+// askInterval is the pause between two questions to other entries while nothing is
+// confirmed.
+const askInterval = time.Second
+
+// Applied is what entries tell each other of the configuration. Like those of the other
+// messages, its fields are exported, because they are plain decoded values.
+type Applied struct {
+	// Version is the newest version that is known to be applied; 0 if none is.
+	Version int64 `json:"version"`
+	// IsConfirmed is set if the store has confirmed the configuration recently enough to
+	// serve keys.
+	IsConfirmed bool `json:"confirmed"`
+	// IsWithheld is set if the store was restored while the entry was out of touch with it,
+	// so that a version may have been lost that the entry has never read.
+	IsWithheld bool `json:"withheld"`
+}
+
+// recordGeneration records that a list of the configuration comes from the start of this
+// process, or is the first since the store was restored. The store may then have lost a version
+// that removed keys, so that the other entries are asked for the newest one.
+func (f *Follower) recordGeneration(p platform.Position, now time.Duration) {
+	if f.hasRead && f.generation == p.Generation() {
+		return
+	}
+	if f.hasRead {
+		event.StoreRestored.Log(f.log, "generation", p.Generation(), "before", f.generation)
+	}
+	f.isOutOfTouch.Store(f.hasRead && !f.isConfirmed(now))
+	f.generation, f.hasRead = p.Generation(), true
+	f.storedVersion, f.askUntil = 0, now+balance.ExpiryPeriod
+}
+
+// askOthers learns the newest version that other entries have applied, and reports whether it
+// is known, or could not be learned in time.
+func (f *Follower) askOthers(ctx context.Context) bool {
+	if f.askUntil == 0 {
+		return true
+	}
+	others, err := f.sink.Applied(ctx)
+	f.knownVersion.Store(max(f.knownVersion.Load(), others.Version))
+	if !f.isNewestKnown(others, err) && process.BootTime() < f.askUntil {
+		cause := "no other entry has been in touch with the store"
+		if err != nil {
+			cause = err.Error()
+		}
+		event.AppliedVersionUnknown.Log(f.log, "error", cause)
+		return false
+	}
+	f.askUntil = 0
+	f.isOutOfTouch.Store(false)
+	return true
+}
+
+// isNewestKnown reports whether this entry or one of the others has read all versions that the
+// store may have lost. An entry that starts beside others that start, too, believes them.
+func (f *Follower) isNewestKnown(others Applied, err error) bool {
+	switch {
+	case others.IsConfirmed:
+		return true
+	case f.isOutOfTouch.Load() || err != nil:
+		return false
+	default:
+		return !others.IsWithheld || f.isConfirmed(process.BootTime())
+	}
+}
 
 // listTimes tells which list is the first one of a restored store, and when the lists after
 // it are due.
--- a/internal/transport/follower/restored_test.go
+++ b/internal/transport/follower/restored_test.go
@@ -1,10 +1,19 @@
 package follower
 
 import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"bluebellcrank/internal/coordination/balance"
+	"bluebellcrank/internal/transport/process"
+	"bluebellcrank/platform/standin"
 )
 
 // TestListsAfterARestore checks which lists are the first of a restored store, and how long
@@ -48,3 +57,82 @@
 		})
 	}
 }
+
+// TestConfirmationAfterARestore guards against a lost removal of a key that a follower takes for
+// one that never was, and against keys that are refused although nothing can be lost.
+func TestConfirmationAfterARestore(t *testing.T) {
+	const lifetime, soon = time.Second, 1500 * time.Millisecond
+	tests := []struct {
+		name string
+		// isCutOff is set for a follower whose confirmation ends before the restore, and
+		// starts for one that starts after it.
+		isCutOff, starts bool
+		others           Applied
+		err              error
+		isSoon           bool
+	}{
+		{name: "in touch", isSoon: true},
+		{name: "in touch, another one is not", others: Applied{IsWithheld: true}, isSoon: true},
+		{name: "in touch, no answer", err: errors.New("no answer")},
+		{name: "cut off", isCutOff: true},
+		{name: "cut off, another one in touch", isCutOff: true, others: Applied{IsConfirmed: true}, isSoon: true},
+		{name: "cut off, another one as well", isCutOff: true, others: Applied{IsWithheld: true}},
+		{name: "cut off, no answer", isCutOff: true, err: errors.New("no answer")},
+		{name: "starts", starts: true, isSoon: true},
+		{name: "starts, no answer", starts: true, err: errors.New("no answer")},
+		{name: "starts, another one was cut off", starts: true, others: Applied{IsWithheld: true}},
+		{name: "starts, one was cut off and one in touch", starts: true, others: Applied{IsConfirmed: true, IsWithheld: true}, isSoon: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			store := standin.NewStore()
+			store.Put("config", "main", map[string]any{"version": 1, "routes": []any{}, "services": []any{}})
+			server := httptest.NewServer(store)
+			defer server.Close()
+			isRestored := atomic.Bool{}
+			follow := func() *Follower {
+				return newFollower(server, func(context.Context) (Applied, error) {
+					if !isRestored.Load() {
+						return Applied{}, nil
+					}
+					return tt.others, tt.err
+				}, lifetime)
+			}
+			isConfirmed := func(f *Follower) bool { return f.Applied(process.BootTime()).IsConfirmed }
+			var f *Follower
+			if !tt.starts {
+				f = follow()
+				defer f.Close()
+				eventually(c, soon, func() bool { return isConfirmed(f) })
+			}
+			copied := store.Copy()
+			if tt.isCutOff {
+				store.SetFailureStatus(http.StatusServiceUnavailable)
+				eventually(c, 2*lifetime, func() bool { return !isConfirmed(f) })
+			}
+			isRestored.Store(true)
+			store.Restore(copied)
+			store.SetFailureStatus(0)
+			if tt.starts {
+				f = follow()
+				defer f.Close()
+			}
+			restoredAt := process.BootTime()
+			isNew := func() bool { return time.Duration(f.confirmedAt.Load()) > restoredAt }
+			if !tt.isSoon {
+				time.Sleep(balance.ExpiryPeriod - 100*time.Millisecond)
+				c.Check(isNew(), qt.IsFalse)
+			}
+			eventually(c, maxRetryDelay+soon, isNew)
+		})
+	}
+}
+
+// eventually waits until a condition holds.
+func eventually(c *qt.C, limit time.Duration, condition func() bool) {
+	for end := time.Now().Add(limit); !condition(); time.Sleep(5 * time.Millisecond) {
+		c.Assert(time.Now().Before(end), qt.IsTrue)
+	}
+}
--- a/internal/transport/gateway/appliedversion.go
+++ b/internal/transport/gateway/appliedversion.go
@@ -2,56 +2,64 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net/http"
-	"strconv"
 
 	"github.com/samber/lo"
+
+	"bluebellcrank/internal/transport/follower"
+	"bluebellcrank/internal/transport/process"
 )
 
-// pathAppliedVersion is where an entry tells others the newest version of the configuration
-// that it knows to be applied.
+// pathAppliedVersion is where an entry tells others which version of the configuration it knows
+// to be applied, and whether the store has confirmed it.
 const pathAppliedVersion = "/applied-version"
 
 // maxAskedEntries limits the entries that are asked for the newest version.
 const maxAskedEntries = 8
 
-// appliedVersion returns the newest version of the configuration that other entries know to be
-// applied; 0 if none of those that answer knows one, and an error if none answers.
-func (g *Gateway) appliedVersion(ctx context.Context) (int64, error) {
+// applied returns what other entries know of the configuration, and an error if there are some
+// but none answers.
+func (g *Gateway) applied(ctx context.Context) (follower.Applied, error) {
 	list, _, err := g.store.Entries(ctx, false)
 	if err != nil {
-		return 0, err
+		return follower.Applied{}, err
 	}
 	addresses := lo.Uniq(append(lo.Values(g.entryAddresses(list)), g.peers.random(maxAskedEntries)...))
 	addresses = lo.Samples(addresses, maxAskedEntries)
 	type reply struct {
-		version int64
+		applied follower.Applied
 		err     error
 	}
 	replies := make(chan reply, len(addresses))
 	for _, address := range addresses {
 		go func() {
 			var r reply
-			r.err = g.peers.call(ctx, http.MethodGet, "http://"+address+pathAppliedVersion, &r.version)
+			r.err = g.peers.call(ctx, http.MethodGet, "http://"+address+pathAppliedVersion, &r.applied)
 			replies <- r
 		}()
 	}
-	newest, hasAnswer := int64(0), len(addresses) == 0
+	var all follower.Applied
+	hasAnswer := len(addresses) == 0
 	var errs []error
 	for range addresses {
 		r := <-replies
-		newest, hasAnswer = max(newest, r.version), hasAnswer || r.err == nil
+		hasAnswer = hasAnswer || r.err == nil
 		errs = append(errs, r.err)
+		all.Version = max(all.Version, r.applied.Version)
+		all.IsConfirmed = all.IsConfirmed || r.applied.IsConfirmed
+		all.IsWithheld = all.IsWithheld || r.applied.IsWithheld
 	}
 	if !hasAnswer {
-		return 0, errors.Join(errs...)
+		return follower.Applied{}, errors.Join(errs...)
 	}
-	return newest, nil
+	return all, nil
 }
 
-// serveAppliedVersion answers another entry with the newest version that is known here.
+// serveAppliedVersion tells another entry what is known here.
 func (g *Gateway) serveAppliedVersion(w http.ResponseWriter, _ *http.Request) {
-	// A write error means that the other entry has disconnected.
-	_, _ = w.Write([]byte(strconv.FormatInt(g.follower.KnownVersion(), 10)))
+	w.Header().Set("Content-Type", "application/json")
+	// An error means that the other entry has disconnected.
+	_ = json.NewEncoder(w).Encode(g.follower.Applied(process.BootTime()))
 }
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -198,7 +198,7 @@
 		SetOutOfService:   g.fleet.SetDataCentresOut,
 		MergeTargets:      g.fleet.Merge,
 		MergeOutOfService: g.fleet.MergeDataCentresOut,
-		AppliedVersion:    g.appliedVersion,
+		Applied:           g.applied,
 	}, g.limits, log)
 	listeners = g.guardListeners(listeners)
 	g.ready = g.newServer(g.serveReady, maxInternalHeaderBytes)
--- a/internal/transport/gateway/restored_test.go
+++ b/internal/transport/gateway/restored_test.go
@@ -281,21 +281,47 @@
 // TestRemovedKeyThatNoEntryKnows has the only entry cut off when a key is removed, until the
 // store is restored from before.
 func TestRemovedKeyThatNoEntryKnows(t *testing.T) {
-	env := newTestEnv(t)
-	env.addTarget(&standin.Target{ID: "t-0"}, "t-0", "bells")
-	env.configure(removedKey, order)
-	env.eventually("the key is known", func() bool { return env.gateway.follower.Table().Account(removedKey) != nil })
-	copied := env.store.Copy()
-	env.storeBlocked.Store(true)
-	env.silenceStore()
-	time.Sleep(500 * time.Millisecond)
-	env.configure(testKey, order)
-	time.Sleep(env.settings.Load().Bounds.RevocationTimeout)
-	env.store.Restore(copied)
-	env.storeBlocked.Store(false)
-	for end := time.Now().Add(balance.ExpiryPeriod); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		q := env.request(order, "a-1", "strike")
-		q.Header.Set("Authorization", "Token "+removedKey)
-		env.c.Assert(env.do(q).status, qt.Not(qt.Equals), http.StatusOK)
+	tests := []struct {
+		name string
+		// other returns the entry that is asked after the restore.
+		other func(env *testEnv) *Gateway
+	}{
+		{"that entry", func(env *testEnv) *Gateway { return env.gateway }},
+		{"an entry that starts beside it", func(env *testEnv) *Gateway { return env.addEntry("entry-2", "127.0.0.2", env.storeAddress) }},
 	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			env := newTestEnv(t)
+			env.addTarget(&standin.Target{ID: "t-0"}, "t-0", "bells")
+			env.configure(removedKey, order)
+			env.eventually("the key is known", func() bool { return env.gateway.follower.Table().Account(removedKey) != nil })
+			copied := env.store.Copy()
+			env.storeBlocked.Store(true)
+			env.silenceStore()
+			time.Sleep(500 * time.Millisecond)
+			env.configure(testKey, order)
+			time.Sleep(env.settings.Load().Bounds.RevocationTimeout)
+			env.store.Restore(copied)
+			env.storeBlocked.Store(false)
+			restored := time.Now()
+			env.eventually("the entry has read the restored store", func() bool {
+				env.c.Assert(env.order(env.gateway, "a-0", removedKey), qt.Not(qt.Equals), http.StatusOK)
+				return env.gateway.follower.Applied(process.BootTime()).IsWithheld
+			})
+			g := tt.other(env)
+			for time.Since(restored) < balance.ExpiryPeriod {
+				env.c.Assert(env.order(g, "a-1", removedKey), qt.Not(qt.Equals), http.StatusOK)
+				time.Sleep(20 * time.Millisecond)
+			}
+			env.eventually("the operator has lost the removal", func() bool { return env.order(g, "a-2", removedKey) == http.StatusOK })
+		})
+	}
+}
+
+// order sends an order with a key to an entry, and returns the status of the answer.
+func (env *testEnv) order(g *Gateway, attempt, key string) int {
+	q := env.request(order, attempt, "strike")
+	q.URL.Host = g.settings.TrafficListen
+	q.Header.Set("Authorization", "Token "+key)
+	return env.do(q).status
 }
