An entry that was out of touch waits only where something can be lost

Cause: an entry counted as out of touch as soon as its confirmation had ended, also where the store was away for everyone, so that nobody could write.

Change: a store that closes or refuses all connections counts as away (ErrClosed); silence, failures and suspended processes count as being out of touch. A write by the operator since the restore ends the wait: one that a watch brings, or the version in force at another revision than before.

TestConfirmationAfterARestore has four more cases.

--- a/internal/transport/follower/follower.go
+++ b/internal/transport/follower/follower.go
@@ -81,8 +81,9 @@
 	storedVersion int64
 	// knownVersion is the newest version that this or another entry has applied.
 	knownVersion atomic.Int64
-	// tableGeneration is the generation of the store from which the table was read.
-	tableGeneration int64
+	// tableWritten is where the table's version was written, in the generation of the store
+	// from which it was read.
+	tableWritten platform.Position
 	// confirmedAt is the boot time of the latest confirmation, in nanoseconds.
 	confirmedAt atomic.Int64
 	// generation is that of the store at the last read of the configuration, and hasRead is
@@ -92,9 +93,13 @@
 	// askUntil is the boot time until which nothing is confirmed before other entries have
 	// told the newest version; 0 once they have.
 	askUntil time.Duration
-	// isOutOfTouch is set if the store was restored while the configuration was no longer
-	// confirmed here, until another entry has confirmed it, or askUntil.
-	isOutOfTouch      atomic.Bool
+	// isStarting is set while others are asked at the start, and isOutOfTouch while they are
+	// asked because the store was restored after the latest confirmation had ended.
+	isStarting   bool
+	isOutOfTouch atomic.Bool
+	// mayHaveMissed is set if the store may have been written since the latest confirmation
+	// without a word to this entry.
+	mayHaveMissed     bool
 	targetsListed     atomic.Bool
 	evacuationsListed atomic.Bool
 	isUnreachable     atomic.Bool
@@ -248,10 +253,11 @@
 	requestedAt := process.BootTime()
 	read, err := f.store.Config(ctx)
 	if err != nil {
+		f.recordFailure(err, requestedAt)
 		f.logConfigFailure(ctx, "list", requestedAt, err)
 		return err
 	}
-	f.recordGeneration(read.Position, requestedAt)
+	f.recordGeneration(read, requestedAt)
 	f.applyConfig(read, "list", requestedAt)
 	position, complete := read.Position, len(read.Invalid) == 0
 	if complete {
@@ -265,6 +271,7 @@
 		wait := f.nextConfigWait(requestedAt)
 		read, err := f.store.WatchConfig(ctx, position, wait)
 		if err != nil {
+			f.recordFailure(err, requestedAt)
 			f.logConfigFailure(ctx, "watch", requestedAt, err)
 			f.restartWatches(ctx)
 			isHistoryGone := errors.Is(err, platform.ErrHistoryGone)
@@ -279,6 +286,10 @@
 		failures = 0
 		position, complete = read.Position, complete || read.Table != nil
 		f.applyConfig(read, "watch", requestedAt)
+		if read.Table != nil && !f.isLost() {
+			f.isStarting = false
+			f.isOutOfTouch.Store(false) // the operator has written since the restore
+		}
 		if complete {
 			f.seen = position
 			changed := read.Table != nil || len(read.Invalid) > 0
@@ -328,6 +339,7 @@
 		return
 	}
 	f.confirmedAt.Store(max(f.confirmedAt.Load(), int64(at)))
+	f.mayHaveMissed = false
 }
 
 // logConfigFailure logs a failed read of the configuration, unless the follower is
@@ -356,12 +368,17 @@
 	if known := f.knownVersion.Load(); f.storedVersion < known {
 		event.ConfigLost.Log(f.log, "version", f.storedVersion, "known", known, "read", read)
 	}
-	generation := c.Position.Generation()
-	if old := f.table.Load(); old != nil && (old.Version() > t.Version() || old.Version() == t.Version() && generation == f.tableGeneration) {
-		return
+	if old := f.table.Load(); old != nil {
+		isSame := old.Version() == t.Version() && c.Written.Generation() == f.tableWritten.Generation()
+		if isSame {
+			f.tableWritten = c.Written
+		}
+		if isSame || old.Version() > t.Version() {
+			return
+		}
 	}
 	f.table.Store(t)
-	f.tableGeneration = generation
+	f.tableWritten = c.Written
 	f.knownVersion.Store(max(f.knownVersion.Load(), t.Version()))
 	now := process.BootTime()
 	event.ConfigAdopted.Log(f.log, "version", t.Version(), "read", read, "read-ms", (now - requestedAt).Milliseconds(),
--- a/internal/transport/follower/restored.go
+++ b/internal/transport/follower/restored.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"bluebellcrank/internal/coordination/balance"
@@ -30,18 +31,37 @@
 // recordGeneration records that a list of the configuration comes from the start of this
 // process, or is the first since the store was restored. The store may then have lost a version
 // that removed keys, so that the other entries are asked for the newest one.
-func (f *Follower) recordGeneration(p platform.Position, now time.Duration) {
-	if f.hasRead && f.generation == p.Generation() {
+func (f *Follower) recordGeneration(c platform.ConfigRead, now time.Duration) {
+	generation := c.Position.Generation()
+	if f.hasRead && f.generation == generation {
 		return
 	}
 	if f.hasRead {
-		event.StoreRestored.Log(f.log, "generation", p.Generation(), "before", f.generation)
+		event.StoreRestored.Log(f.log, "generation", generation, "before", f.generation)
 	}
-	f.isOutOfTouch.Store(f.hasRead && !f.isConfirmed(now))
-	f.generation, f.hasRead = p.Generation(), true
+	f.isStarting = !f.hasRead
+	f.isOutOfTouch.Store(f.hasRead && f.mayHaveMissed && !f.isConfirmed(now) && !f.isWrittenAgain(c))
+	f.generation, f.hasRead = generation, true
 	f.storedVersion, f.askUntil = 0, now+balance.ExpiryPeriod
 }
 
+// recordFailure records that a read of the configuration that was requested at a boot time has
+// failed. A store that closes its connections is away for everyone, and nothing is written there
+// meanwhile; one that is silent or answers with a failure may still serve the operator.
+func (f *Follower) recordFailure(err error, requestedAt time.Duration) {
+	wasSuspended := process.BootTime()-requestedAt > healthyRunTime
+	if wasSuspended || !errors.Is(err, platform.ErrClosed) && !errors.Is(err, platform.ErrHistoryGone) {
+		f.mayHaveMissed = true
+	}
+}
+
+// isWrittenAgain reports whether the operator has written the version in force again since the
+// store was restored. A copy has it where it was.
+func (f *Follower) isWrittenAgain(c platform.ConfigRead) bool {
+	t := f.table.Load()
+	return t != nil && c.Table != nil && c.Table.Version() == t.Version() && c.Written.Revision() != f.tableWritten.Revision()
+}
+
 // askOthers learns the newest version that other entries have applied, and reports whether it
 // is known, or could not be learned in time.
 func (f *Follower) askOthers(ctx context.Context) bool {
@@ -58,7 +78,7 @@
 		event.AppliedVersionUnknown.Log(f.log, "error", cause)
 		return false
 	}
-	f.askUntil = 0
+	f.askUntil, f.isStarting = 0, false
 	f.isOutOfTouch.Store(false)
 	return true
 }
@@ -72,7 +92,7 @@
 	case f.isOutOfTouch.Load() || err != nil:
 		return false
 	default:
-		return !others.IsWithheld || f.isConfirmed(process.BootTime())
+		return !f.isStarting || !others.IsWithheld
 	}
 }
 
--- a/internal/transport/follower/restored_test.go
+++ b/internal/transport/follower/restored_test.go
@@ -58,25 +58,39 @@
 	}
 }
 
+// restoredLifetime is how long confirmations live in tests of a restored store, and soon how
+// long a follower may take that waits for nothing.
+const restoredLifetime, soon = time.Second, 1500 * time.Millisecond
+
+// confirmationCase is a follower of a store that is restored from a copy.
+type confirmationCase struct {
+	name string
+	// isCutOff is set for a follower whose confirmation ends before the restore, isAway
+	// for one that sees the store close its connections meanwhile, and starts for one that
+	// starts after it.
+	isCutOff, isAway, starts bool
+	// isWritten is set if the operator writes the version again with the restore, and
+	// isWrittenLater after it.
+	isWritten, isWrittenLater bool
+	others                    Applied
+	err                       error
+	isSoon                    bool
+}
+
 // TestConfirmationAfterARestore guards against a lost removal of a key that a follower takes for
 // one that never was, and against keys that are refused although nothing can be lost.
 func TestConfirmationAfterARestore(t *testing.T) {
-	const lifetime, soon = time.Second, 1500 * time.Millisecond
-	tests := []struct {
-		name string
-		// isCutOff is set for a follower whose confirmation ends before the restore, and
-		// starts for one that starts after it.
-		isCutOff, starts bool
-		others           Applied
-		err              error
-		isSoon           bool
-	}{
+	tests := []confirmationCase{
 		{name: "in touch", isSoon: true},
 		{name: "in touch, another one is not", others: Applied{IsWithheld: true}, isSoon: true},
 		{name: "in touch, no answer", err: errors.New("no answer")},
+		{name: "the store was away", isAway: true, others: Applied{IsWithheld: true}, isSoon: true},
+		{name: "cut off, then the store was away", isCutOff: true, isAway: true, others: Applied{IsWithheld: true}},
 		{name: "cut off", isCutOff: true},
 		{name: "cut off, another one in touch", isCutOff: true, others: Applied{IsConfirmed: true}, isSoon: true},
 		{name: "cut off, another one as well", isCutOff: true, others: Applied{IsWithheld: true}},
+		{name: "cut off, written again", isCutOff: true, isWritten: true, others: Applied{IsWithheld: true}, isSoon: true},
+		{name: "cut off, written again later", isCutOff: true, isWrittenLater: true, others: Applied{IsWithheld: true}, isSoon: true},
 		{name: "cut off, no answer", isCutOff: true, err: errors.New("no answer")},
 		{name: "starts", starts: true, isSoon: true},
 		{name: "starts, no answer", starts: true, err: errors.New("no answer")},
@@ -86,50 +100,87 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			c := qt.New(t)
-			store := standin.NewStore()
-			store.Put("config", "main", map[string]any{"version": 1, "routes": []any{}, "services": []any{}})
-			server := httptest.NewServer(store)
-			defer server.Close()
-			isRestored := atomic.Bool{}
-			follow := func() *Follower {
-				return newFollower(server, func(context.Context) (Applied, error) {
-					if !isRestored.Load() {
-						return Applied{}, nil
-					}
-					return tt.others, tt.err
-				}, lifetime)
-			}
-			isConfirmed := func(f *Follower) bool { return f.Applied(process.BootTime()).IsConfirmed }
-			var f *Follower
-			if !tt.starts {
-				f = follow()
-				defer f.Close()
-				eventually(c, soon, func() bool { return isConfirmed(f) })
-			}
-			copied := store.Copy()
-			if tt.isCutOff {
-				store.SetFailureStatus(http.StatusServiceUnavailable)
-				eventually(c, 2*lifetime, func() bool { return !isConfirmed(f) })
-			}
-			isRestored.Store(true)
-			store.Restore(copied)
-			store.SetFailureStatus(0)
-			if tt.starts {
-				f = follow()
-				defer f.Close()
-			}
-			restoredAt := process.BootTime()
-			isNew := func() bool { return time.Duration(f.confirmedAt.Load()) > restoredAt }
-			if !tt.isSoon {
-				time.Sleep(balance.ExpiryPeriod - 100*time.Millisecond)
-				c.Check(isNew(), qt.IsFalse)
-			}
-			eventually(c, maxRetryDelay+soon, isNew)
+			tt.run(qt.New(t))
 		})
 	}
 }
 
+// run restores the store of a follower.
+func (tt confirmationCase) run(c *qt.C) {
+	store := standin.NewStore()
+	write := func(version int) {
+		store.Put("config", "main", map[string]any{"version": version, "routes": []any{}, "services": []any{}})
+	}
+	write(1)
+	var isAway, isRestored atomic.Bool
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if isAway.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		store.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	follow := func() *Follower {
+		return newFollower(server, func(context.Context) (Applied, error) {
+			if !isRestored.Load() {
+				return Applied{}, nil
+			}
+			return tt.others, tt.err
+		}, restoredLifetime)
+	}
+	isConfirmed := func(f *Follower) bool { return f.Applied(process.BootTime()).IsConfirmed }
+	var f *Follower
+	if !tt.starts {
+		f = follow()
+		defer f.Close()
+		eventually(c, soon, func() bool { return isConfirmed(f) })
+	}
+	copied := store.Copy()
+	if tt.isWritten || tt.isWrittenLater {
+		write(2)
+		eventually(c, soon, func() bool { return f.Table().Version() == 2 })
+	}
+	if tt.isCutOff {
+		store.SetFailureStatus(http.StatusServiceUnavailable)
+		time.Sleep(soon)
+	}
+	if tt.isAway {
+		isAway.Store(true)
+		server.CloseClientConnections()
+	}
+	if tt.isCutOff || tt.isAway {
+		eventually(c, 2*restoredLifetime, func() bool { return !isConfirmed(f) })
+	}
+	isRestored.Store(true)
+	store.Restore(copied)
+	if tt.isWritten {
+		store.Put("other", "of-the-operator", map[string]any{})
+		write(2)
+	}
+	store.SetFailureStatus(0)
+	isAway.Store(false)
+	if tt.isWrittenLater {
+		time.Sleep(maxRetryDelay)
+		write(2)
+	}
+	if tt.starts {
+		f = follow()
+		defer f.Close()
+	}
+	tt.check(c, f)
+}
+
+// check checks when a follower confirms the configuration after a restore.
+func (tt confirmationCase) check(c *qt.C, f *Follower) {
+	restoredAt := process.BootTime()
+	isNew := func() bool { return time.Duration(f.confirmedAt.Load()) > restoredAt }
+	if !tt.isSoon {
+		time.Sleep(balance.ExpiryPeriod - 100*time.Millisecond)
+		c.Check(isNew(), qt.IsFalse)
+	}
+	eventually(c, maxRetryDelay+soon, isNew)
+}
+
 // eventually waits until a condition holds.
 func eventually(c *qt.C, limit time.Duration, condition func() bool) {
 	for end := time.Now().Add(limit); !condition(); time.Sleep(5 * time.Millisecond) {
