A target that names no request in its answers gets a connection for each

What callers saw: at a target whose answers name no request, every request on a kept connection waited until its deadline and ended as one that may have run, although the target had answered at once.

Cause: an answer without an id counts as a request's own only as the first on its connection. The connection was kept after such an answer, and the next one was taken for that to an earlier request.

Evidence: in TestTargetThatNamesNoRequestAnswersEach the second request gets no answer within 0.5 s, with status 200 and with 503.

Change: a connection is kept only after an answer that names its request.

Measured: the test fails without the change, in both rows, and passes with it. Targets that repeat ids get no further connections (TestConnectionCarriesEachRequestIDOnce, TestReuse). Not changed: a target that repeats the id in its answers but not in its refusals has a request on a kept connection wait for its deadline, since nothing tells the refusal from a foreign answer.

--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -122,9 +122,9 @@
 	conn    *conn
 	address string
 	// reusable reports whether the connection may carry another request: the
-	// request was written in full before the response was read, and no response
-	// to another request came in. It is never set for a body above
-	// maxInlineBodySize.
+	// request was written in full before the response was read, the response names
+	// it, and no response to another request came in. It is never set for a body
+	// above maxInlineBodySize.
 	reusable bool
 	// stopCancel detaches the connection from the request's context; it returns
 	// false when the context ended the connection.
@@ -220,6 +220,8 @@
 			continue
 		}
 		if r.isAnsweredBy(response.Header, isFirst) {
+			// A target that names no request here would not name the next one either.
+			res.reusable = res.reusable && (r.ReadID == nil || r.ReadID(response.Header) == r.ID)
 			res.Response = response
 			limit.remaining = math.MaxInt64
 			return nil
--- a/internal/transport/upstream/pool_test.go
+++ b/internal/transport/upstream/pool_test.go
@@ -189,6 +189,29 @@
 	}
 }
 
+// TestTargetThatNamesNoRequestAnswersEach guards against answers that are taken for earlier ones.
+func TestTargetThatNamesNoRequestAnswersEach(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			c := qt.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(status) }))
+			t.Cleanup(server.Close)
+			p := NewPool(func() {})
+			for range 3 {
+				ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+				defer cancel()
+				r := newRequest(strings.TrimPrefix(server.URL, "http://"))
+				r.ReadID = func(h http.Header) string { return h.Get("Id") }
+				res, err := p.Do(ctx, r)
+				c.Assert(err, qt.IsNil)
+				c.Check(res.StatusCode, qt.Equals, status)
+				res.DiscardBody()
+				res.Close(time.Now())
+			}
+		})
+	}
+}
+
 // numbered returns a number of different ids.
 func numbered(count int) []string {
 	var out []string
