A failed read of a rank's state is no state

What could happen: on the own interface, an engine that answered a read of its state with a failure in JSON counted as one that has never run a step. An agent that starts at that moment begins a new rank with map 1, while the engine has been granted steps with another one.

Cause: the status of the answer was not looked at, unlike those of loads and orders. Found beside the search for copied answers; it has another cause.

Change: any status other than 200 is an error.

That an agent begins such a rank is read from the code.

--- a/internal/protocol/engine/rank.go
+++ b/internal/protocol/engine/rank.go
@@ -61,6 +61,9 @@
 	if err := client.DoTimeout(req, resp, timeout); err != nil {
 		return s, fmt.Errorf("engine: rank: %w", err)
 	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return s, fmt.Errorf("engine: rank: status %d", resp.StatusCode())
+	}
 	if err := json.Unmarshal(resp.Body(), &s); err != nil {
 		return s, fmt.Errorf("engine: rank: %w", err)
 	}
