The steps of other leaders are bounded by fresh reports

What could happen: a leader that takes over bounds the steps that others may have used by the reports that come with the locks. These were regular samples, on kept connections, where an earlier report may come again. If all ranks' reports were copies, the leader could choose a step that a delayed release of the other leader's change still names, and the ranks be split between two maps.

Cause: a decision about a change of the map rested on samples after all.

Evidence: TestCopiedReportDoesNotBoundUsedSteps has another leader hold the lock for 20 steps, and an engine that writes each answer once more.

Change: the first samples of a leader, and those after an acquisition of the lock that it did not know, are read on connections of their own. Until then it begins no change. No further connections otherwise.

--- a/internal/transport/rankagent/agent.go
+++ b/internal/transport/rankagent/agent.go
@@ -156,7 +156,11 @@
 	if !grant.granted {
 		return sampleReply{Holder: grant.holder}, nil
 	}
-	report, err := a.sampleReport(ctx, time.Now())
+	read := a.sampleReport
+	if r.Fresh {
+		read = a.readReport
+	}
+	report, err := read(ctx, time.Now())
 	if err != nil {
 		return sampleReply{}, err
 	}
--- a/internal/transport/rankagent/leader.go
+++ b/internal/transport/rankagent/leader.go
@@ -119,6 +119,8 @@
 	usedSteps mapswitch.UsedSteps
 	// acquisitions identify this leader's acquisition of each agent's lock.
 	acquisitions []int64
+	// isBounded is set if usedSteps were bounded by fresh samples since these acquisitions.
+	isBounded bool
 	// backOffUntil is the time before which this agent does not try to lead.
 	backOffUntil time.Time
 }
@@ -303,7 +305,7 @@
 	l.samples, l.mixedLayout = make([]*sampleReply, len(l.addresses)), nil
 	stride := max(1, len(l.addresses)/countedRanks)
 	l.forEachRank(func(r int) {
-		s, err := l.sampleRank(ctx, r, sampleRequest{Experts: l.layout == nil, Counts: r%stride == 0})
+		s, err := l.sampleRank(ctx, r, sampleRequest{Experts: l.layout == nil, Counts: r%stride == 0, Fresh: !l.isBounded})
 		if err == nil {
 			l.samples[r] = &s
 		}
@@ -354,8 +356,13 @@
 	acquisitions := lo.Map(l.samples, func(s *sampleReply, _ int) int64 { return s.Acquisition })
 	if epoch != l.usedSteps.Epoch() || lo.Contains(acquisitions, 0) || !slices.Equal(acquisitions, l.acquisitions) {
 		l.usedSteps.Assume(epoch, l.currentStep())
+		if l.isBounded {
+			// These samples may be of before the acquisitions; the next ones are fresh.
+			l.isBounded = false
+			return
+		}
 	}
-	l.acquisitions = acquisitions
+	l.acquisitions, l.isBounded = acquisitions, true
 }
 
 // currentStep returns the last step that any rank reported in the latest samples.
--- a/internal/transport/rankagent/message.go
+++ b/internal/transport/rankagent/message.go
@@ -26,6 +26,8 @@
 	Counts bool `json:"counts,omitempty"`
 	// Experts requests the experts that the rank holds, by layer set.
 	Experts bool `json:"experts,omitempty"`
+	// Fresh requests a report that is not that of an earlier sample.
+	Fresh bool `json:"fresh,omitempty"`
 }
 
 // sampleReply is an agent's reply to a sampleRequest.
--- a/internal/transport/rankagent/usedsteps_test.go
+++ b/internal/transport/rankagent/usedsteps_test.go
@@ -1,11 +1,22 @@
 package rankagent
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
 
 	"bluebellcrank/internal/state/expert"
+	"bluebellcrank/internal/state/routing"
+	"bluebellcrank/platform"
 )
 
 // TestLeaderBoundsUsedSteps checks that a leader begins no change before it can choose a
@@ -48,3 +59,72 @@
 		})
 	}
 }
+
+// TestCopiedReportDoesNotBoundUsedSteps guards against a step that another leader has used.
+func TestCopiedReportDoesNotBoundUsedSteps(t *testing.T) {
+	// A copy is on every second sample, after an even or an odd number of them.
+	for _, samples := range []int{2, 3} {
+		t.Run(fmt.Sprint(samples, " samples before"), func(t *testing.T) { checkUsedSteps(t, samples) })
+	}
+}
+
+// checkUsedSteps has another leader hold the lock after a number of samples.
+func checkUsedSteps(t *testing.T, samples int) {
+	c := qt.New(t)
+	var step atomic.Int64
+	step.Store(10)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	t.Cleanup(func() { _ = l.Close() })
+	serve := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		r, copied := bufio.NewReader(conn), ""
+		for {
+			request, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			text := fmt.Sprintf(`{"group":{"name":"g","epoch":1,"state":"open"},"size":1,"step":%d}`, step.Load())
+			if strings.HasSuffix(request.URL.Path, "picked") {
+				text = `{"expertMap":{"version":0,"experts":[[0]]},"counts":[1]}`
+			}
+			answer := fmt.Sprintf("HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+			_, _ = io.WriteString(conn, copied+answer)
+			copied = answer
+		}
+	}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	a := &Agent{log: hclog.NewNullLogger(), engine: platform.NewEngine(l.Addr().String(), time.Second)}
+	defer a.engine.Close()
+	a.settings.Name = "leader"
+	leader := newLeader(a)
+	leader.profile = &routing.EngineProfile{LayerSets: 1, Experts: 1}
+	leader.addresses, leader.self.Group = []string{"self"}, "g"
+	for range samples {
+		c.Assert(leader.sampleAll(t.Context()), qt.IsTrue)
+	}
+	const otherRank, steps = 5, 20
+	c.Assert(a.lock.acquire("other", otherRank, false, time.Now().Add(time.Hour)).granted, qt.IsTrue)
+	step.Add(steps)
+	for range 2 {
+		c.Assert(leader.sampleAll(t.Context()), qt.IsTrue)
+	}
+	if leader.currentStep() != step.Load() {
+		c.Assert(leader.sampleAll(t.Context()), qt.IsTrue)
+	}
+	c.Assert(leader.currentStep(), qt.Equals, step.Load())
+	c.Check(leader.usedSteps.AllowsChange(leader.currentStep()), qt.IsFalse, qt.Commentf("steps up to %d count as used", leader.usedSteps.Last()))
+	step.Add(1)
+	for range 3 {
+		c.Assert(leader.sampleAll(t.Context()), qt.IsTrue)
+	}
+	c.Check(leader.usedSteps.AllowsChange(leader.currentStep()), qt.IsTrue)
+}
