A version written between two restores does not count as written again

What callers could see: a removed key served at once by an entry that was out of touch with the store during two restores in a row, without its wait of 4 s.

Cause: isWrittenAgain compared revisions alone. Where the operator wrote the version in force again after the first restore, and a later one that was lost with the second, the copy has the version in force at another revision, which proves nothing about the second restore.

Change: a revision that differs counts only where one restore lies between the two reads.

Measured: TestVersionWrittenBetweenTwoRestoresIsNotTheNewest fails without the change and passes with it, with the race detector; TestConfirmationAfterARestore still passes.

--- a/internal/transport/follower/restored.go
+++ b/internal/transport/follower/restored.go
@@ -56,10 +56,11 @@
 }
 
 // isWrittenAgain reports whether the operator has written the version in force again since the
-// store was restored. A copy has it where it was.
+// store was restored. A copy has it where it was, unless that was written between two restores.
 func (f *Follower) isWrittenAgain(c platform.ConfigRead) bool {
-	t := f.table.Load()
-	return t != nil && c.Table != nil && c.Table.Version() == t.Version() && c.Written.Revision() != f.tableWritten.Revision()
+	t, was := f.table.Load(), f.tableWritten
+	return t != nil && c.Table != nil && c.Table.Version() == t.Version() &&
+		c.Written.Generation() == was.Generation()+1 && c.Written.Revision() != was.Revision()
 }
 
 // askOthers learns the newest version that other entries have applied, and reports whether it
--- a/internal/transport/follower/restored_test.go
+++ b/internal/transport/follower/restored_test.go
@@ -187,3 +187,35 @@
 		c.Assert(time.Now().Before(end), qt.IsTrue)
 	}
 }
+
+// TestVersionWrittenBetweenTwoRestoresIsNotTheNewest guards against a removed key that is served
+// because the version in force was written again before a later one was lost with a second restore.
+func TestVersionWrittenBetweenTwoRestoresIsNotTheNewest(t *testing.T) {
+	const lifetime, soon = time.Second, 1500 * time.Millisecond
+	c := qt.New(t)
+	store := standin.NewStore()
+	write := func(version int) {
+		store.Put("config", "main", map[string]any{"version": version, "routes": []any{}, "services": []any{}})
+	}
+	write(1)
+	early := store.Copy()
+	store.Put("other", "of-the-operator", map[string]any{})
+	write(2)
+	server := httptest.NewServer(store)
+	defer server.Close()
+	f := newFollower(server, func(context.Context) (Applied, error) { return Applied{}, nil }, lifetime)
+	defer f.Close()
+	isConfirmed := func() bool { return f.Applied(process.BootTime()).IsConfirmed }
+	eventually(c, soon, isConfirmed)
+	store.SetFailureStatus(http.StatusServiceUnavailable)
+	eventually(c, 2*lifetime, func() bool { return !isConfirmed() })
+	store.Restore(early)
+	write(2)
+	late := store.Copy()
+	write(3) // removes a key
+	store.Restore(late)
+	store.SetFailureStatus(0)
+	time.Sleep(balance.ExpiryPeriod - 100*time.Millisecond)
+	c.Check(isConfirmed(), qt.IsFalse)
+	eventually(c, maxRetryDelay+soon, isConfirmed)
+}
