Entries that start do not vouch, nor do those that are still cut off

What callers could see: a key served for seconds after its removal was lost with a restore, by an entry that started while the only other one was still cut off from the store, and by an entry that was cut off itself, once one that had started on the copy was confirmed.

Cause: an entry whose confirmation had ended counted as sound until it read the restored store itself, so that one that started believed it. And a confirmation counted as a word on the time before the restore, also that of an entry that had started since and knew only the copy.

Measured: TestEntryThatStartsBeforeOneIsBackDoesNotServeARemovedKey and TestEntryBelievesNoneThatStartsAfterARestore fail without the change and pass with it, with the race detector, as do the other tests of removed keys and those of the follower.

--- a/internal/transport/follower/follower.go
+++ b/internal/transport/follower/follower.go
@@ -99,7 +99,10 @@
 	isOutOfTouch atomic.Bool
 	// mayHaveMissed is set if the store may have been written since the latest confirmation
 	// without a word to this entry.
-	mayHaveMissed     bool
+	mayHaveMissed bool
+	// vouchesFrom is the boot time from which others may believe the confirmations here. One
+	// that has just started may have followed a copy.
+	vouchesFrom       atomic.Int64
 	targetsListed     atomic.Bool
 	evacuationsListed atomic.Bool
 	isUnreachable     atomic.Bool
@@ -150,10 +153,11 @@
 
 // Applied returns what this entry tells others of the configuration at a boot time.
 func (f *Follower) Applied(boot time.Duration) Applied {
+	isConfirmed, wasConfirmed := f.isConfirmed(boot), f.confirmedAt.Load() >= 0
 	return Applied{
 		Version:     f.knownVersion.Load(),
-		IsConfirmed: f.isConfirmed(boot),
-		IsWithheld:  f.isOutOfTouch.Load(),
+		IsConfirmed: isConfirmed && boot >= time.Duration(f.vouchesFrom.Load()),
+		IsWithheld:  f.isOutOfTouch.Load() || wasConfirmed && !isConfirmed,
 	}
 }
 
--- a/internal/transport/follower/restored.go
+++ b/internal/transport/follower/restored.go
@@ -21,10 +21,10 @@
 	// Version is the newest version that is known to be applied; 0 if none is.
 	Version int64 `json:"version"`
 	// IsConfirmed is set if the store has confirmed the configuration recently enough to
-	// serve keys.
+	// serve keys, and the entry did not start in the last seconds.
 	IsConfirmed bool `json:"confirmed"`
-	// IsWithheld is set if the store was restored while the entry was out of touch with it,
-	// so that a version may have been lost that the entry has never read.
+	// IsWithheld is set if the entry is out of touch with the store, or was when the store was
+	// restored, so that a version may have been lost that the entry has never read.
 	IsWithheld bool `json:"withheld"`
 }
 
@@ -43,6 +43,9 @@
 	f.isOutOfTouch.Store(f.hasRead && f.mayHaveMissed && !f.isConfirmed(now) && !f.isWrittenAgain(c))
 	f.generation, f.hasRead = generation, true
 	f.storedVersion, f.askUntil = 0, now+balance.ExpiryPeriod
+	if f.isStarting {
+		f.vouchesFrom.Store(int64(f.askUntil))
+	}
 }
 
 // recordFailure records that a read of the configuration that was requested at a boot time has
--- a/internal/transport/follower/restored_test.go
+++ b/internal/transport/follower/restored_test.go
@@ -128,7 +128,7 @@
 			return tt.others, tt.err
 		}, restoredLifetime)
 	}
-	isConfirmed := func(f *Follower) bool { return f.Applied(process.BootTime()).IsConfirmed }
+	isConfirmed := func(f *Follower) bool { return f.isConfirmed(process.BootTime()) }
 	var f *Follower
 	if !tt.starts {
 		f = follow()
@@ -205,7 +205,7 @@
 	defer server.Close()
 	f := newFollower(server, func(context.Context) (Applied, error) { return Applied{}, nil }, lifetime)
 	defer f.Close()
-	isConfirmed := func() bool { return f.Applied(process.BootTime()).IsConfirmed }
+	isConfirmed := func() bool { return f.isConfirmed(process.BootTime()) }
 	eventually(c, soon, isConfirmed)
 	store.SetFailureStatus(http.StatusServiceUnavailable)
 	eventually(c, 2*lifetime, func() bool { return !isConfirmed() })
--- a/internal/transport/gateway/restored_test.go
+++ b/internal/transport/gateway/restored_test.go
@@ -12,6 +12,7 @@
 
 	"bluebellcrank/internal/coordination/balance"
 	"bluebellcrank/internal/coordination/quarantine"
+	"bluebellcrank/internal/state/event"
 	"bluebellcrank/internal/transport/process"
 	"bluebellcrank/platform"
 	"bluebellcrank/platform/standin"
@@ -306,7 +307,7 @@
 			restored := time.Now()
 			env.eventually("the entry has read the restored store", func() bool {
 				env.c.Assert(env.order(env.gateway, "a-0", removedKey), qt.Not(qt.Equals), http.StatusOK)
-				return env.gateway.follower.Applied(process.BootTime()).IsWithheld
+				return len(env.logged(event.StoreRestored)) > 0
 			})
 			g := tt.other(env)
 			for time.Since(restored) < balance.ExpiryPeriod {
@@ -325,3 +326,57 @@
 	q.Header.Set("Authorization", "Token "+key)
 	return env.do(q).status
 }
+
+// TestEntryThatStartsBeforeOneIsBackDoesNotServeARemovedKey guards against an entry that believes
+// one that has been out of touch with the store since before a removal was lost.
+func TestEntryThatStartsBeforeOneIsBackDoesNotServeARemovedKey(t *testing.T) {
+	env := newTestEnv(t)
+	env.addTarget(&standin.Target{ID: "t-0"}, "t-0", "bells")
+	env.configure(removedKey, order)
+	env.eventually("the key is known", func() bool { return env.gateway.follower.Table().Account(removedKey) != nil })
+	copied := env.store.Copy()
+	env.storeBlocked.Store(true)
+	env.silenceStore()
+	time.Sleep(500 * time.Millisecond)
+	env.configure(testKey, order)
+	time.Sleep(env.settings.Load().Bounds.RevocationTimeout)
+	env.store.Restore(copied)
+	restored := time.Now()
+	g := env.addEntry("entry-2", "127.0.0.2", env.storeAddress)
+	env.eventually("the other entry is ready", g.isReady)
+	for time.Since(restored) < balance.ExpiryPeriod {
+		if time.Since(restored) > balance.ExpiryPeriod/2 {
+			env.storeBlocked.Store(false)
+		}
+		env.c.Assert(env.order(g, "a-1", removedKey), qt.Not(qt.Equals), http.StatusOK)
+		env.c.Assert(env.order(env.gateway, "a-2", removedKey), qt.Not(qt.Equals), http.StatusOK)
+		time.Sleep(20 * time.Millisecond)
+	}
+	env.eventually("the operator has lost the removal", func() bool { return env.order(g, "a-3", removedKey) == http.StatusOK })
+}
+
+// TestEntryBelievesNoneThatStartsAfterARestore guards against a removed key that is served by an
+// entry that was out of touch, because one that has started since was confirmed.
+func TestEntryBelievesNoneThatStartsAfterARestore(t *testing.T) {
+	env := newTestEnv(t)
+	env.addTarget(&standin.Target{ID: "t-0"}, "t-0", "bells")
+	env.configure(removedKey, order)
+	env.eventually("the key is known", func() bool { return env.gateway.follower.Table().Account(removedKey) != nil })
+	env.store.Delete("bluebellcrank-entries", "entry-1")
+	copied := env.store.Copy()
+	env.storeBlocked.Store(true)
+	env.silenceStore()
+	time.Sleep(500 * time.Millisecond)
+	env.configure(testKey, order)
+	time.Sleep(env.settings.Load().Bounds.RevocationTimeout)
+	env.store.Restore(copied)
+	g := env.addEntry("entry-2", "127.0.0.2", env.storeAddress)
+	env.eventually("an entry that cannot know better serves the key", func() bool { return env.order(g, "a-1", removedKey) == http.StatusOK })
+	env.storeBlocked.Store(false)
+	back := time.Now()
+	for time.Since(back) < balance.ExpiryPeriod-500*time.Millisecond {
+		env.c.Assert(env.order(env.gateway, "a-2", removedKey), qt.Not(qt.Equals), http.StatusOK)
+		time.Sleep(20 * time.Millisecond)
+	}
+	env.eventually("the operator has lost the removal", func() bool { return env.order(env.gateway, "a-3", removedKey) == http.StatusOK })
+}
