Few calls while nothing can be confirmed

What was seen: an entry that starts while others cannot answer, or beside one that was cut off, reads the list of entries and asks up to 8 entries five times a second for 4 s. Where the newest version is invalid and the one before unknown, an entry watches the configuration five times a second, without end.

Cause: a watch is short once the confirmation is old, also where no watch can confirm anything.

Change: the pause between questions doubles from 0.2 s to 1 s, for entries that start and for those that were out of touch; watches after an invalid version have their usual length.

--- a/internal/transport/follower/follower.go
+++ b/internal/transport/follower/follower.go
@@ -93,6 +93,8 @@
 	// askUntil is the boot time until which nothing is confirmed before other entries have
 	// told the newest version; 0 once they have.
 	askUntil time.Duration
+	// askPause is the pause before the next question, which doubles up to askInterval.
+	askPause time.Duration
 	// isStarting is set while others are asked at the start, and isOutOfTouch while they are
 	// asked because the store was restored after the latest confirmation had ended.
 	isStarting   bool
@@ -272,7 +274,7 @@
 	}
 	for failures := 0; ; {
 		requestedAt = process.BootTime()
-		wait := f.nextConfigWait(requestedAt)
+		wait := f.nextConfigWait(requestedAt, complete)
 		read, err := f.store.WatchConfig(ctx, position, wait)
 		if err != nil {
 			f.recordFailure(err, requestedAt)
@@ -305,16 +307,20 @@
 // isLost reports whether the store lacks a version that was applied.
 func (f *Follower) isLost() bool { return f.storedVersion < f.knownVersion.Load() }
 
-// nextConfigWait returns how long the next configuration watch may wait.
-func (f *Follower) nextConfigWait(now time.Duration) time.Duration {
+// nextConfigWait returns how long the next configuration watch may wait. It may confirm
+// something only if all versions that the store has were read.
+func (f *Follower) nextConfigWait(now time.Duration, complete bool) time.Duration {
 	age, lifetime := f.ConfirmationAge(now), f.limits().ConfirmationLifetime
-	if f.isLost() {
-		age = 0 // no watch confirms anything until the version is written again
+	switch {
+	case !complete:
+		return nextConfigWait(0, lifetime)
+	case f.askUntil != 0 && (f.isOutOfTouch.Load() || !f.isConfirmed(now)):
+		return min(nextConfigWait(0, lifetime), max(minConfigWait, min(f.askPause, f.askUntil-now)))
+	case f.isLost():
+		return nextConfigWait(0, lifetime) // nothing is confirmed until the version is written again
+	default:
+		return nextConfigWait(age, lifetime)
 	}
-	if f.isOutOfTouch.Load() {
-		return min(nextConfigWait(0, lifetime), max(minConfigWait, min(askInterval, f.askUntil-now)))
-	}
-	return nextConfigWait(age, lifetime)
 }
 
 // confirmationTime returns the latest boot time at which a watch confirms that
--- a/internal/transport/follower/restored.go
+++ b/internal/transport/follower/restored.go
@@ -11,7 +11,7 @@
 	"bluebellcrank/platform"
 )
 
-// askInterval is the pause between two questions to other entries while nothing is
+// askInterval is the longest pause between two questions to other entries while nothing is
 // confirmed.
 const askInterval = time.Second
 
@@ -42,7 +42,7 @@
 	f.isStarting = !f.hasRead
 	f.isOutOfTouch.Store(f.hasRead && f.mayHaveMissed && !f.isConfirmed(now) && !f.isWrittenAgain(c))
 	f.generation, f.hasRead = generation, true
-	f.storedVersion, f.askUntil = 0, now+balance.ExpiryPeriod
+	f.storedVersion, f.askUntil, f.askPause = 0, now+balance.ExpiryPeriod, minConfigWait
 	if f.isStarting {
 		f.vouchesFrom.Store(int64(f.askUntil))
 	}
@@ -80,6 +80,7 @@
 			cause = err.Error()
 		}
 		event.AppliedVersionUnknown.Log(f.log, "error", cause)
+		f.askPause = min(2*f.askPause, askInterval)
 		return false
 	}
 	f.askUntil, f.isStarting = 0, false
--- a/internal/transport/follower/restored_test.go
+++ b/internal/transport/follower/restored_test.go
@@ -219,3 +219,66 @@
 	c.Check(isConfirmed(), qt.IsFalse)
 	eventually(c, maxRetryDelay+soon, isConfirmed)
 }
+
+// TestFewCallsWhileNothingCanBeConfirmed guards against questions and watches that follow each
+// other closely while the configuration cannot be confirmed.
+func TestFewCallsWhileNothingCanBeConfirmed(t *testing.T) {
+	const lifetime, period = 1500 * time.Millisecond, 3 * time.Second
+	tests := []struct {
+		name string
+		// isInvalid is set if the newest version is invalid, and isCutOff for a follower that was
+		// out of touch when the store was restored; another one starts.
+		isInvalid, isCutOff bool
+		others              Applied
+		err                 error
+		// after is when the calls are counted from.
+		after time.Duration
+	}{
+		{name: "starts beside one that was cut off", others: Applied{IsWithheld: true}},
+		{name: "starts, no answer", err: errors.New("no answer")},
+		{name: "starts with an invalid version", isInvalid: true, after: balance.ExpiryPeriod},
+		{name: "cut off", isCutOff: true},
+		{name: "cut off, an invalid version", isCutOff: true, isInvalid: true, after: balance.ExpiryPeriod},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			store := standin.NewStore()
+			store.Put("config", "main", map[string]any{"version": 1, "routes": []any{}, "services": []any{}})
+			copied := store.Copy()
+			if tt.isInvalid {
+				store.Put("config", "main", map[string]any{"version": 2})
+				copied = store.Copy()
+				store.DropHistory()
+			}
+			var watches, asked atomic.Int64
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/v1/objects/config" {
+					watches.Add(1)
+				}
+				store.ServeHTTP(w, r)
+			}))
+			defer server.Close()
+			f := newFollower(server, func(context.Context) (Applied, error) {
+				asked.Add(1)
+				return tt.others, tt.err
+			}, lifetime)
+			defer f.Close()
+			if tt.isCutOff {
+				time.Sleep(500 * time.Millisecond)
+				store.SetFailureStatus(http.StatusServiceUnavailable)
+				time.Sleep(2 * lifetime)
+				store.Restore(copied)
+				store.SetFailureStatus(0)
+				time.Sleep(maxRetryDelay)
+			}
+			time.Sleep(tt.after)
+			watches.Store(0)
+			asked.Store(0)
+			time.Sleep(period)
+			c.Check(watches.Load() <= 6, qt.IsTrue, qt.Commentf("%d reads of the configuration", watches.Load()))
+			c.Check(asked.Load() <= 6, qt.IsTrue, qt.Commentf("%d questions", asked.Load()))
+		})
+	}
+}
