An entry keeps those it knows until it has registered again

What could happen: an entry whose registration is lost with a restore, and which the store then refuses (429 while all write again), knows only the entries that the copy has: it sends the others no refusals, loans or reports, and counts a quarantine's trials among fewer.

Cause: the list from before the restore was added only to the first list with the entry's own registration. It was also never given up, so that a later loss would have brought it back.

Change: it is added to all lists up to the second read after the restore, and then dropped.

Measured: TestEntryKeepsThoseItKnowsWhileItCannotRegisterAgain fails without the change (one other entry is known, of two) and passes with it, with the race detector, beside the tests of lost registrations.

--- a/internal/transport/gateway/entries.go
+++ b/internal/transport/gateway/entries.go
@@ -40,7 +40,8 @@
 // before it registers: after a restart the list still has the other entries.
 func (g *Gateway) maintainEntries(ctx context.Context) {
 	reads, justRegistered := 0, false
-	var before map[string]platform.Entry // the list from before the store was restored
+	// before is the list from before the store was restored, until the second read after it.
+	var before map[string]platform.Entry
 	var latest map[string]platform.Entry
 	var neighbour membership.Neighbour
 	backoff := housekeepingInterval
@@ -63,15 +64,18 @@
 			if reads == 1 {
 				// Those that are missing on the copy register at this time.
 				latest = lo.Assign(before, list)
+			} else {
+				before = nil
 			}
 			delay = g.applyEntries(ctx, latest, reads, &neighbour)
 		default:
 			// A stale list would also lack the new registration.
 			reads = 0
-			names := append(lo.Keys(list), g.settings.Name)
-			g.setEntries(names, max(len(list)+1, initialEntryCount))
+			known := lo.Assign(before, list)
+			names := lo.Uniq(append(lo.Keys(known), g.settings.Name))
+			g.setEntries(names, max(len(names), initialEntryCount))
 			g.quarantine.setEntries(names, len(names))
-			g.setPeers(list)
+			g.setPeers(known)
 			if err := g.store.Register(ctx, g.settings.Name, g.settings.Address, g.settings.DataCentre); err == nil || errors.Is(err, platform.ErrConflict) {
 				if delay = housekeepingInterval; !justRegistered {
 					delay = 0 // the list has this entry now
--- a/internal/transport/gateway/restored_test.go
+++ b/internal/transport/gateway/restored_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -380,3 +381,27 @@
 	}
 	env.eventually("the operator has lost the removal", func() bool { return env.order(env.gateway, "a-3", removedKey) == http.StatusOK })
 }
+
+// TestEntryKeepsThoseItKnowsWhileItCannotRegisterAgain guards against an entry that takes the list
+// of a restored store for complete because its own registration is missing as well.
+func TestEntryKeepsThoseItKnowsWhileItCannotRegisterAgain(t *testing.T) {
+	env := newTestEnv(t)
+	copied := env.store.Copy()
+	var isRefused atomic.Bool
+	address := env.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost && isRefused.Load() {
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		env.store.ServeHTTP(w, r)
+	}))
+	g := env.addEntry("entry-2", "127.0.0.2", address)
+	third := env.addEntry("entry-3", "127.0.0.3", address)
+	env.eventually("all know all", func() bool { return g.entryCount.Load() == 3 && third.entryCount.Load() == 3 })
+	time.Sleep(secondReadDelay + time.Second)
+	isRefused.Store(true)
+	env.store.Restore(copied)
+	for end := time.Now().Add(restoreTime); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		env.c.Assert(len(g.peers.random(maxAskedEntries)), qt.Equals, 2)
+	}
+}
