Configuration watches wait for whole milliseconds

What was seen: an entry beside its store ends many waits of 2 s with a confirmation that is 2 s old already. It is then nearer to refusing keys when the store goes away, and counts as out of touch after a restore that it saw from the first moment.

Cause: the wait was 1994.999999 ms and the store is told 1994 ms. An answer within the rest of that millisecond came before the end of the wait, and so confirmed only the time of the request.

Change: the wait is cut to whole milliseconds.

TestWaitsAreWholeMilliseconds fails without the change and passes with it.

--- a/internal/transport/follower/follower.go
+++ b/internal/transport/follower/follower.go
@@ -338,7 +338,8 @@
 // the age of the latest confirmation and the lifetime of confirmations.
 func nextConfigWait(age, lifetime time.Duration) time.Duration {
 	longest := min(maxConfigWait, time.Duration(maxWaitShare*float64(lifetime)))
-	return min(longest, max(minConfigWait, time.Duration(nextConfirmationShare*float64(lifetime))-age))
+	due := max(minConfigWait, time.Duration(nextConfirmationShare*float64(lifetime))-age)
+	return min(longest, due).Truncate(time.Millisecond) // the store is told no less
 }
 
 // confirm records that the configuration was current at a boot time, unless the store may have
--- a/internal/transport/follower/follower_test.go
+++ b/internal/transport/follower/follower_test.go
@@ -45,3 +45,14 @@
 		})
 	}
 }
+
+// TestWaitsAreWholeMilliseconds guards against a watch whose answer comes, within a millisecond,
+// before the wait that the store was not told in full, and confirms nothing of it.
+func TestWaitsAreWholeMilliseconds(t *testing.T) {
+	for _, lifetime := range []time.Duration{1500 * time.Millisecond, 3 * time.Second, 3500 * time.Millisecond} {
+		for age := time.Duration(0); age < lifetime; age += 1234567 * time.Nanosecond {
+			wait := nextConfigWait(age, lifetime)
+			qt.Assert(t, wait%time.Millisecond, qt.Equals, time.Duration(0), qt.Commentf("%s at age %s of %s", wait, age, lifetime))
+		}
+	}
+}
