--- a/internal/transport/rankagent/usedsteps_test.go
+++ b/internal/transport/rankagent/usedsteps_test.go
@@ -68,14 +68,12 @@
 	}
 }
 
-// checkUsedSteps has another leader hold the lock after a number of samples.
-func checkUsedSteps(t *testing.T, samples int) {
-	c := qt.New(t)
-	var step atomic.Int64
-	step.Store(10)
+// copyingEngine serves an engine that writes each answer once more where the next one is due, and
+// returns its address.
+func copyingEngine(c *qt.C, step *atomic.Int64) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	t.Cleanup(func() { _ = l.Close() })
+	c.Cleanup(func() { _ = l.Close() })
 	serve := func(conn net.Conn) {
 		defer func() { _ = conn.Close() }()
 		r, copied := bufio.NewReader(conn), ""
@@ -102,7 +100,15 @@
 			go serve(conn)
 		}
 	}()
-	a := &Agent{log: hclog.NewNullLogger(), engine: platform.NewEngine(l.Addr().String(), time.Second)}
+	return l.Addr().String()
+}
+
+// checkUsedSteps has another leader hold the lock after a number of samples.
+func checkUsedSteps(t *testing.T, samples int) {
+	c := qt.New(t)
+	var step atomic.Int64
+	step.Store(10)
+	a := &Agent{log: hclog.NewNullLogger(), engine: platform.NewEngine(copyingEngine(c, &step), time.Second)}
 	defer a.engine.Close()
 	a.settings.Name = "leader"
 	leader := newLeader(a)
