A request is told by the id that its target gets

What callers saw: where a client listed Attempt-Id in its Connection header, its request on a kept connection waited until its deadline and ended with 504, although the target had answered at once. The target then counted as failed, and the next requests of other clients were refused with 503.

Cause: the header is not passed on then, so that the target can't repeat it, but the entry waited for an answer with the id that the client had sent. On a kept connection, an answer without one counts as that to an earlier request. Any client could do this to any target.

Evidence: TestAttemptThatIsNotPassedOnIsAnswered sends every second request so; without the change, the second and third of four fail on all kinds of route.

Change: a request is identified by the id in the headers that are passed on, and one without it gets a connection of its own.

Not changed: that the header is not passed on.

--- a/internal/transport/gateway/copiedrefusal_test.go
+++ b/internal/transport/gateway/copiedrefusal_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"bluebellcrank/platform/standin"
 )
 
 // copyingTarget refuses requests, and writes a refusal once more when its attempt arrives
@@ -238,3 +240,26 @@
 		}
 	}
 }
+
+// TestAttemptThatIsNotPassedOnIsAnswered guards against a client that has targets count as failed.
+func TestAttemptThatIsNotPassedOnIsAnswered(t *testing.T) {
+	for _, r := range []route{order, status, draft, single} {
+		t.Run(r.name, func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t)
+			target := &standin.Target{ID: "t-0"}
+			if r.service == draft.service {
+				target.Handler = standin.Events(2, 0)
+			}
+			env.addTarget(target, target.ID, r.service)
+			env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets(time.Now())) == 1 })
+			for n := range 4 {
+				q := env.request(r, fmt.Sprint("a-", n), "strike")
+				if n%2 == 1 {
+					q.Header.Set("Connection", "Attempt-Id")
+				}
+				env.c.Check(env.do(q).status, qt.Equals, 200, qt.Commentf("request %d", n))
+			}
+		})
+	}
+}
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -196,7 +196,7 @@
 		Header:      header,
 		Body:        x.body,
 		MaxIdleTime: maxIdle,
-		ID:          x.client.AttemptID,
+		ID:          platform.ReadAttemptID(header),
 		ReadID:      platform.ReadAttemptID,
 		Skipped: func(status int, h http.Header, c upstream.ConnInfo) {
 			x.gateway.metrics.answersSkipped.Inc()
