--- a/cmd/standin/soak_check_test.go
+++ b/cmd/standin/soak_check_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -57,7 +58,7 @@
 
 // isRefused reports whether the reply says that the request did not run.
 func (a soakAttempt) isRefused() bool {
-	return a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests
+	return slices.Contains([]int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest}, a.status)
 }
 
 // repeatOf says how a request that may not be repeated ran too often; it returns an empty
--- a/cmd/standin/soak_series_test.go
+++ b/cmd/standin/soak_series_test.go
@@ -287,6 +287,13 @@
 			s.changeConfiguration()
 		}
 	})
+	s.injectKinds(until)
+	all.Wait()
+}
+
+// injectKinds injects series of faults of the run's kinds until the given time.
+func (s *seriesSoak) injectKinds(until time.Time) {
+	var all sync.WaitGroup
 	for time.Now().Before(until) {
 		time.Sleep(time.Duration(s.random.Int64N(int64(2 * seriesMaxGap))))
 		f, r := s.kinds[s.random.IntN(len(s.kinds))], rand.New(rand.NewPCG(s.random.Uint64(), 2))
@@ -334,7 +341,8 @@
 
 // exchange sends a request on a connection and reads the answer.
 func (s *seriesSoak) exchange(conn net.Conn, reader *bufio.Reader, a *soakAttempt) error {
-	request := s.newRequest(*a, conn.RemoteAddr().String(), soakPath(a.streaming), soakBody)
+	body := s.bodies[int(s.lastAttempt.Load())%len(s.bodies)]
+	request := s.newRequest(*a, conn.RemoteAddr().String(), soakPath(a.streaming), body)
 	if err := conn.SetDeadline(time.Now().Add(soakRecoveryTimeout)); err != nil {
 		return err
 	}
@@ -346,8 +354,8 @@
 		return err
 	}
 	a.status, a.hasSignature = response.StatusCode, response.Header.Get("Server-Signature") != ""
-	body, err := io.ReadAll(response.Body)
-	a.body, a.complete = string(body), err == nil
+	answer, err := io.ReadAll(response.Body)
+	a.body, a.complete = string(answer), err == nil
 	return err
 }
 
--- a/cmd/standin/soak_test.go
+++ b/cmd/standin/soak_test.go
@@ -135,6 +135,11 @@
 	gapGoal time.Duration
 	// withoutResumption has streams run once at most.
 	withoutResumption bool
+	// orderTargets is how many targets an order may be sent to, and slots how many requests
+	// each target is listed to take.
+	orderTargets, slots int
+	// bodies are the bodies of requests on open connections, in turn.
+	bodies []string
 	// servers are the registrations of targets.
 	servers map[string]map[string]any
 	// timeout is the timeout of the routes.
@@ -167,17 +172,20 @@
 func newSoakRun(t *testing.T, seed uint64, revocation time.Duration) *soakRun {
 	s := &soakRun{
 		t: t, c: qt.New(t), dir: t.TempDir(),
-		seed:        seed,
-		random:      rand.New(rand.NewPCG(seed, 1)),
-		store:       standin.NewStore(),
-		gapGoal:     soakGapGoal,
-		timeout:     soakTimeout,
-		gracePeriod: soakGracePeriod,
-		binary:      filepath.Join(binaryDir, "bluebellcrank"),
-		runCounts:   runCounter{counts: map[string]int{}},
-		refusals:    refusals{random: rand.New(rand.NewPCG(seed, 6))},
-		servers:     map[string]map[string]any{},
-		keys:        []string{soakKey, soakRemovedKey},
+		seed:         seed,
+		random:       rand.New(rand.NewPCG(seed, 1)),
+		store:        standin.NewStore(),
+		gapGoal:      soakGapGoal,
+		timeout:      soakTimeout,
+		gracePeriod:  soakGracePeriod,
+		orderTargets: 1,
+		slots:        16,
+		bodies:       []string{soakBody},
+		binary:       filepath.Join(binaryDir, "bluebellcrank"),
+		runCounts:    runCounter{counts: map[string]int{}},
+		refusals:     refusals{random: rand.New(rand.NewPCG(seed, 6))},
+		servers:      map[string]map[string]any{},
+		keys:         []string{soakKey, soakRemovedKey},
 	}
 	store := httptest.NewServer(http.HandlerFunc(s.serveStore))
 	t.Cleanup(func() {
@@ -349,7 +357,7 @@
 			"maxAttempts": targets, "timeoutMs": s.timeout.Milliseconds(), "targetLatencyMs": 500, "gapAimMs": s.gapGoal.Milliseconds(), "streamResumption": kind == "streaming" && !s.withoutResumption,
 		}
 	}
-	routes := []any{route("order", "non_idempotent", "bells", 1), route("draft", "streaming", "drafts", 2)}
+	routes := []any{route("order", "non_idempotent", "bells", s.orderTargets), route("draft", "streaming", "drafts", 2)}
 	for _, name := range s.addedRoutes {
 		routes = append(routes, route(name, "idempotent", "bells", 2))
 	}
@@ -366,7 +374,7 @@
 func (s *soakRun) listServer(id, service, address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.servers[id] = map[string]any{"service": service, "address": address, "zone": "east", "slots": 16, "state": "serving"}
+	s.servers[id] = map[string]any{"service": service, "address": address, "zone": "east", "slots": s.slots, "state": "serving"}
 	s.store.Put("servers", id, s.servers[id])
 }
 
@@ -378,14 +386,12 @@
 	s.store.Delete("servers", id)
 }
 
-// addTarget starts a target behind a relay and adds it to the store's list of
-// servers.
-func (s *soakRun) addTarget(service string) {
+// newTarget returns a target of a service, which counts its runs.
+func (s *soakRun) newTarget(service string) *standin.Target {
 	s.mu.Lock()
 	s.targetCount++
-	id := fmt.Sprintf("%s-%d", service, s.targetCount)
+	target := &standin.Target{ID: fmt.Sprintf("%s-%d", service, s.targetCount)}
 	s.mu.Unlock()
-	target := &standin.Target{ID: id}
 	target.Handler = func(w http.ResponseWriter, r *http.Request) {
 		attemptID := r.Header.Get("Attempt-Id")
 		if s.refusals.refuse(w) {
@@ -399,6 +405,13 @@
 		time.Sleep(30 * time.Millisecond)
 		_, _ = io.WriteString(w, "struck for "+attemptID)
 	}
+	return target
+}
+
+// addTarget starts a target behind a relay and adds it to the store's list of
+// servers.
+func (s *soakRun) addTarget(service string) {
+	target := s.newTarget(service)
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = standin.NewCopyingServer(target, s.refusals.copies)
 	server.Start()
@@ -407,7 +420,7 @@
 		server.Close()
 	})
 	targetRelay, address := s.relayTo(strings.TrimPrefix(server.URL, "http://"))
-	s.listServer(id, service, address)
+	s.listServer(target.ID, service, address)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.targetRelays = append(s.targetRelays, targetRelay)
