Own interface: a list's tag counts in its own generation of the store only

What could happen: a process takes the instance list as unchanged after a restore, although it differs, and calls processes that are gone, or misses new ones, until the tag changes.

Cause: the entity tag of the list was kept across a restore. A platform whose tags come from its revisions gives them out again. The stand-in's are hashes of the content.

Change: "unchanged" counts only if the generation is that of the last read; else the list is read without a tag.

Measured: TestListTagOfBeforeARestoreDoesNotCount fails without the change and passes with it, as do all tests of the package, with the race detector.

--- a/internal/transport/member/list.go
+++ b/internal/transport/member/list.go
@@ -30,6 +30,12 @@
 	m.listReadMu.Lock()
 	defer m.listReadMu.Unlock()
 	list, err := m.platform.Instances(m.listTag)
+	if generation, _ := m.platform.Generation(); generation != m.listGeneration {
+		m.listGeneration = generation
+		if errors.Is(err, platform.ErrUnchanged) {
+			list, err = m.platform.Instances("") // a restored store may give out tags again
+		}
+	}
 	m.listTag = list.Tag
 	for _, err := range list.Invalid {
 		event.TargetInvalid.Log(m.log, "error", err.Error())
--- a/internal/transport/member/member.go
+++ b/internal/transport/member/member.go
@@ -54,9 +54,11 @@
 	lastSaveAt        atomic.Int64 // when the last batch was sent, whether or not it was stored, in Unix nanoseconds
 	idCounter         atomic.Uint64
 
-	listReadMu   sync.Mutex
-	listTag      string
-	lastListRead membership.List
+	listReadMu sync.Mutex
+	listTag    string
+	// listGeneration is the store's generation at the last read of the list.
+	listGeneration int64
+	lastListRead   membership.List
 
 	adoptMu sync.Mutex
 	builder *config.Builder
--- a/internal/transport/member/restored_test.go
+++ b/internal/transport/member/restored_test.go
@@ -83,3 +83,43 @@
 	age := process.Call(m.loop, func(now time.Time) time.Duration { return m.restoreClock.Age(now) })
 	c.Check(age < delay, qt.IsTrue, qt.Commentf("%s", age))
 }
+
+// TestListTagOfBeforeARestoreDoesNotCount guards against an instance list that is taken as unchanged
+// because a restored store gave out its tag again.
+func TestListTagOfBeforeARestoreDoesNotCount(t *testing.T) {
+	c := qt.New(t)
+	const tag = `"5"`
+	var isRestored atomic.Bool
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/instances" {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		generation, list := "1", `[{"id":"a","data-centre":"east"}]`
+		if isRestored.Load() {
+			generation, list = "2", `[{"id":"a","data-centre":"east"},{"id":"b","data-centre":"east"}]`
+		}
+		w.Header().Set("Store-Generation", generation)
+		w.Header().Set("ETag", tag)
+		if r.Header.Get("If-None-Match") == tag {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		_, _ = w.Write([]byte(list))
+	}))
+	defer server.Close()
+	m := newTestMember(t, server.URL)
+	m.Start()
+	defer m.Close()
+	hasInstances := func(n int) bool {
+		for end := time.Now().Add(3 * time.Second); len(m.Instances()) != n; time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				return false
+			}
+		}
+		return true
+	}
+	c.Assert(hasInstances(1), qt.IsTrue)
+	isRestored.Store(true)
+	c.Check(hasInstances(2), qt.IsTrue)
+}
