--- a/review/lab2/world.go
+++ b/review/lab2/world.go
@@ -177,8 +177,8 @@
 			"zone": "kolkata", "region": "bengal", "zones": map[string]string{"kolkata": "bengal"},
 			"listenAddresses":   map[string]string{"frontend": g.frontend, "ready": g.ready},
 			"internalPortRange": []int{internal, internal}, "bootstrap": true,
-			"limits":            map[string]any{"cpuShare": 0.208, "cpuCores": 1, "memoryMb": 206, "fileDescriptors": 2870, "linkMbps": 700.0, "diskMb": 0},
-			"discovery":         "platform", "heartbeatIntervalMs": 1200,
+			"limits":    map[string]any{"cpuShare": 0.208, "cpuCores": 1, "memoryMb": 206, "fileDescriptors": 2870, "linkMbps": 700.0, "diskMb": 0},
+			"discovery": "platform", "heartbeatIntervalMs": 1200,
 			"bounds": map[string]any{
 				"seedLagS": 3, "addressReuseS": 2, "stabilityWindowMs": 3000, "ackTimeoutMs": 4000, "drainMs": 2000, "gracePeriodS": 8,
 				"lossSlackMs": 200, "configPropagationMs": 2000, "revokeWhenPartitioned": true, "revocationMs": 5000, "retryBudgetRatio": 0.2,
