Log why a client's connection ended, and requests left without an answer

Change: event 2101 has connection-end, event 2115 names each request that a handler leaves without an answer, and two counters count both. The handlers that meant an empty 200 say so. Nothing else changes yet.

--- /dev/null
+++ b/internal/transport/gateway/answered.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"syscall"
+
+	"bluebellcrank/internal/state/event"
+	"bluebellcrank/platform"
+)
+
+// The causes for which the context of a connection ends.
+const (
+	endedByClient  = "client"   // closed or shut down for sending
+	endedByReset   = "reset"    // by the client or the network
+	endedByTimeout = "time-out" // of this entry
+	endedHere      = "closed"   // by this entry
+	endedOtherwise = "other"
+)
+
+// connectionEnd returns why the context of a request's connection has ended, or an empty text
+// if it has not.
+func connectionEnd(ctx context.Context) string {
+	if ctx.Err() == nil {
+		return ""
+	}
+	var err error
+	if c := guardedConnIn(ctx); c != nil {
+		err = c.Err()
+	}
+	switch {
+	case errors.Is(err, io.EOF):
+		return endedByClient
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		return endedByReset
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return endedByTimeout
+	case errors.Is(err, net.ErrClosed):
+		return endedHere
+	}
+	return endedOtherwise
+}
+
+// answerWriter records whether a handler has begun its answer.
+type answerWriter struct {
+	http.ResponseWriter
+	hasBegun bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *answerWriter) WriteHeader(status int) {
+	w.hasBegun = w.hasBegun || status >= http.StatusOK
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements io.Writer.
+func (w *answerWriter) Write(p []byte) (int, error) {
+	w.hasBegun = true
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap returns the writer for an http.ResponseController.
+func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// answered counts and logs the requests that a handler leaves without an answer, and counts
+// those whose connection has ended meanwhile.
+func (g *Gateway) answered(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		out := &answerWriter{ResponseWriter: w}
+		defer func() {
+			if cause := connectionEnd(r.Context()); cause != "" {
+				g.metrics.countEndedConnection(cause)
+			}
+		}()
+		next(out, r)
+		if !out.hasBegun {
+			g.metrics.unanswered.Inc()
+			event.RequestUnanswered.Log(g.log, "id", platform.ReadAttemptID(r.Header), "path", r.URL.Path,
+				"from", r.RemoteAddr, "connection-end", connectionEnd(r.Context()))
+		}
+	}
+}
+
+// countEndedConnection counts a request whose connection ended before its handler did.
+func (m *entryMetrics) countEndedConnection(cause string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("bluebellcrank_request_connections_ended_total{cause=%q}", cause)).Inc()
+}
--- a/internal/transport/gateway/exchange.go
+++ b/internal/transport/gateway/exchange.go
@@ -315,6 +315,9 @@
 	if reason == string(refusal.Quarantined) {
 		fields = append(fields, "keys", keyNames(x.suspect))
 	}
+	if cause := connectionEnd(x.request.Context()); cause != "" {
+		fields = append(fields, "connection-end", cause)
+	}
 	event.RequestEnded.Log(g.log, append(fields, x.earlier.logFields()...)...)
 }
 
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -333,6 +333,8 @@
 		w.WriteHeader(http.StatusNotFound)
 	case !g.isReady():
 		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusOK)
 	}
 }
 
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -12,6 +12,7 @@
 	connectionsOpened *metrics.Counter
 	retries           *metrics.Counter
 	answersSkipped    *metrics.Counter
+	unanswered        *metrics.Counter
 	streamsResumed    *metrics.Counter
 	relayedReads      *metrics.Counter
 	targetsEnded      *metrics.Counter
@@ -40,6 +41,7 @@
 		connectionsOpened:      set.NewCounter("bluebellcrank_target_connections_opened_total"),
 		retries:                set.NewCounter("bluebellcrank_repeated_sends_total"),
 		answersSkipped:         set.NewCounter("bluebellcrank_answers_skipped_total"),
+		unanswered:             set.NewCounter("bluebellcrank_requests_unanswered_total"),
 		streamsResumed:         set.NewCounter("bluebellcrank_streams_resumed_total"),
 		relayedReads:           set.NewCounter("bluebellcrank_store_reads_passed_on_total"),
 		targetsEnded:           set.NewCounter("bluebellcrank_attempts_whose_target_ended_total"),
--- a/internal/transport/gateway/servers.go
+++ b/internal/transport/gateway/servers.go
@@ -21,7 +21,7 @@
 // newServer returns an HTTP server whose connections are guarded.
 func (g *Gateway) newServer(handler http.HandlerFunc, maxHeader int) *http.Server {
 	return &http.Server{
-		Handler:           guarded(handler),
+		Handler:           guarded(g.answered(handler)),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeader,
 		ConnState:         connStateChanged,
--- a/internal/transport/gateway/slowdown.go
+++ b/internal/transport/gateway/slowdown.go
@@ -69,4 +69,5 @@
 			event.EngineSlow.Log(g.log, "target", t.ID, "group", t.Group, "pace", e.Pace, "pace-before", before)
 		}
 	}
+	w.WriteHeader(http.StatusOK)
 }
--- a/internal/transport/process/guard.go
+++ b/internal/transport/process/guard.go
@@ -144,6 +144,8 @@
 	mu                    sync.Mutex
 	headBytes, headFields int
 	headCharge            int64
+	// ended is the error of the last read or write that failed; nil if none has.
+	ended error
 }
 
 // closeAsVictim closes the connection for the sake of others. The server notices it and calls
@@ -168,6 +170,7 @@
 // read, so that it is not served without an answer.
 func (c *GuardedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.recordError(err)
 	if n <= 0 {
 		return n, err
 	}
@@ -184,6 +187,24 @@
 	return n, err
 }
 
+// recordError keeps the error of a read or a write.
+func (c *GuardedConn) recordError(err error) {
+	if err == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = err
+}
+
+// Err returns the error of the last read or write that failed, or nil. It tells why the
+// context of a request has ended.
+func (c *GuardedConn) Err() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
 // chargeHead charges more bytes of a head, and reports whether there is memory for them.
 func (c *GuardedConn) chargeHead(p []byte) bool {
 	more := c.countHead(p)
@@ -266,6 +287,7 @@
 		if errors.Is(err, os.ErrDeadlineExceeded) && n > 0 {
 			continue
 		}
+		c.recordError(err)
 		if err != nil || written == len(p) {
 			if !c.guard.hasServerStates {
 				c.StateChanged(http.StateIdle) // a request ends with its response
