A request's deadline no longer ends the connection on which the server reads ahead

Cause: the deadline of a request was set on the reads of its connection, and lifted once the body was read. Where a request has no body, the HTTP library already reads ahead, to notice that the client leaves. If the process stands still between the two calls past the deadline, that read times out, and the library cancels the context of the connection, which all its later requests share. The reads of another entry's message had the same deadline, and a message that came late left its connection open with an ended context.

Change: readBefore is the one place that sets such a deadline. A request without a body gets none, and a connection whose body was not read to its end closes with the answer. Behind a body the library lifts the deadline itself before it reads ahead; a row of the test holds that.

--- a/internal/transport/gateway/answered.go
+++ b/internal/transport/gateway/answered.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"syscall"
+	"time"
 
 	"bluebellcrank/internal/state/event"
 	"bluebellcrank/platform"
@@ -46,6 +47,25 @@
 	return endedOtherwise
 }
 
+// readBefore reads the body of a request, with a deadline on the reads of its connection. A
+// request without a body gets none: the server reads ahead on the connection, to notice that the
+// client leaves, and a time-out of that read would end the context of all its requests. Behind
+// a body, the server lifts the deadline before it reads ahead. A connection whose body was not
+// read to its end carries no other request.
+func readBefore(w http.ResponseWriter, r *http.Request, deadline time.Time, read func(body io.ReadCloser) ([]byte, error)) ([]byte, error) {
+	if r.Body == http.NoBody {
+		return read(r.Body)
+	}
+	if err := http.NewResponseController(w).SetReadDeadline(deadline); err != nil {
+		return nil, err
+	}
+	content, err := read(r.Body)
+	if err != nil {
+		w.Header().Set("Connection", "close")
+	}
+	return content, err
+}
+
 // answerWriter records whether a handler has begun its answer.
 type answerWriter struct {
 	http.ResponseWriter
--- a/internal/transport/gateway/env_test.go
+++ b/internal/transport/gateway/env_test.go
@@ -49,6 +49,8 @@
 	dataCentre string
 	// traffic replaces the listener for the clients of the entries that are added next.
 	traffic net.Listener
+	// pauses is where the entries that are added next stand still.
+	pauses pausePoint
 	// memoryMB and descriptors are in the settings of the entries that are added next.
 	memoryMB, descriptors int
 	// log has the log lines of all entries.
@@ -189,6 +191,9 @@
 		l.Traffic = env.traffic
 	}
 	env.entriesPort = l.Entries.Addr().(*net.TCPAddr).Port
+	if env.pauses != neverPauses {
+		l.Traffic, l.Entries = &pausingListener{l.Traffic, env.pauses}, &pausingListener{l.Entries, env.pauses}
+	}
 	s := instance.Settings{
 		Name: name, Address: address, DataCentre: cmp.Or(env.dataCentre, "east"), Bounds: instance.Bounds{}.Defaults(),
 		TrafficListen: l.Traffic.Addr().String(), ReadyListen: l.Ready.Addr().String(),
--- a/internal/transport/gateway/refusals.go
+++ b/internal/transport/gateway/refusals.go
@@ -225,11 +225,10 @@
 	if r.Method != http.MethodPost || r.Header.Get("Expect") == "" {
 		return errors.New("no POST that waits for 100 Continue")
 	}
-	if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(maxPeerRoundTrip)); err != nil {
-		return err
-	}
 	asked := process.BootTime()
-	content, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRefusalBytes))
+	content, err := readBefore(w, r, time.Now().Add(maxPeerRoundTrip), func(body io.ReadCloser) ([]byte, error) {
+		return io.ReadAll(http.MaxBytesReader(w, body, maxRefusalBytes))
+	})
 	now := process.BootTime()
 	if err != nil {
 		return err
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -173,11 +173,9 @@
 	}
 	x.setPhase(clientlimit.Body)
 	defer x.setPhase(clientlimit.Running)
-	controller := http.NewResponseController(x.writer)
-	if err := controller.SetReadDeadline(x.deadline); err != nil {
-		return refusal.BadRequest
-	}
-	content, err := x.readAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
+	content, err := readBefore(x.writer, x.request, x.deadline, func(body io.ReadCloser) ([]byte, error) {
+		return x.readAll(http.MaxBytesReader(x.writer, body, limit))
+	})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -190,10 +188,6 @@
 		return refusal.BadRequest
 	}
 	x.body = content
-	// The server goes on reading, to notice that the client leaves.
-	if err := controller.SetReadDeadline(time.Time{}); err != nil {
-		return refusal.BadRequest
-	}
 	return ""
 }
 
