A handler that writes no answer closes the connection

What callers saw: an empty 200 for each request whose handler returned without an answer. The HTTP library writes it; nothing of the entry decided it.

Cause: whether a request is answered was left to each handler, and the library's default is a success.

--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -89,7 +89,7 @@
 	SecondRequestWon         = declare(2112, hclog.Info, "answer to a second request came first: the first attempt is ended")
 	ClientsLimited           = declare(2113, hclog.Warn, "clients refused or closed: the memory or the connections for clients are short")
 	AnswerSkipped            = declare(2114, hclog.Warn, "answer skipped: it belongs to another request")
-	RequestUnanswered        = declare(2115, hclog.Error, "a request ended without an answer")
+	RequestUnanswered        = declare(2115, hclog.Error, "a request ended without an answer: its connection is closed")
 	AttemptFailed            = declare(2102, hclog.Info, "attempt at a target failed")
 	TargetAnnouncedLeaving   = declare(3010, hclog.Info, "target announced in an answer that it is leaving: it gets no new requests")
 	TargetBackoff            = declare(3011, hclog.Info, "target asked for no requests for a time")
--- a/internal/transport/gateway/standstill_test.go
+++ b/internal/transport/gateway/standstill_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -222,3 +223,37 @@
 		c.Check(k.do("GET", read).status, qt.Equals, http.StatusOK)
 	}
 }
+
+// TestHandlerWithoutAnswerClosesTheConnection guards against the empty 200 that the HTTP library
+// sends for a handler that returns without an answer.
+func TestHandlerWithoutAnswerClosesTheConnection(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name    string
+		handler http.HandlerFunc
+		want    int // 0 is a closed connection
+	}{
+		{"no answer", func(http.ResponseWriter, *http.Request) {}, 0},
+		{"a header only", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Attempt-Id", "a") }, 0},
+		{"a flush only", func(w http.ResponseWriter, _ *http.Request) { _ = http.NewResponseController(w).Flush() }, 0},
+		{"an informational answer only", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusEarlyHints) }, 0},
+		{"a status", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }, 204},
+		{"a body", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }, 200},
+	}
+	env := newTestEnv(t)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			before := len(env.logged(event.RequestUnanswered))
+			s := httptest.NewUnstartedServer(nil)
+			s.Config = env.gateway.newServer(tt.handler, maxHeaderBytes)
+			s.Start()
+			defer s.Close()
+			q, err := http.NewRequest(http.MethodGet, s.URL, nil)
+			c.Assert(err, qt.IsNil)
+			a := env.do(q)
+			c.Check(a.status, qt.Equals, tt.want)
+			c.Check(len(env.logged(event.RequestUnanswered))-before, qt.Equals, map[bool]int{true: 1}[tt.want == 0])
+		})
+	}
+}
