A request that waits is answered when its client ends its sending side

Cause: refuseUnplaced took the end of the connection's context for a client that waits no more, and returned. An end of the sending side can't be told from a closed connection.

Change: such a request is refused as cancelled (503) and its connection closed, which costs nothing where nobody reads. Requests whose deadline passed while the process stood still are not handed to a target any more: the clock is asked, since the timer of the context may be late.

--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -82,6 +82,11 @@
 func (x *exchange) place(ctx context.Context, isRetry bool, acquire acquireFunc) (*balance.Lease, unplaced) {
 	for {
 		now := time.Now()
+		// After a pause of the process, the timer of the context may be late.
+		if ctx.Err() != nil || !now.Before(x.deadline) {
+			x.noRetry = "time"
+			return nil, unplaced{reason: x.endReason()}
+		}
 		lease, verdict := acquire(x, ctx, now)
 		if lease == nil {
 			x.noRetry = "target"
@@ -112,10 +117,8 @@
 	switch {
 	case why.reason != "":
 		x.refuse(why.reason, why.wait)
-	case x.request.Context().Err() != nil:
-		x.finish(0, string(refusal.Cancelled))
 	case ctx.Err() != nil:
-		x.refuse(x.deadlineReason(), 0)
+		x.refuse(x.endReason(), 0)
 	case why.verdict == balance.NoTarget:
 		x.refuse(refusal.NoTarget, x.noTargetDelay(time.Now()))
 	default:
@@ -145,6 +148,22 @@
 	return retryDelay(x.gateway.recordOutage(x.service, now))
 }
 
+// hasClientLeft reports whether nobody may wait for the answer any more. A client that has
+// only shut down its sending side can't be told from one that has closed its connection, so
+// the request is still answered.
+func (x *exchange) hasClientLeft() bool {
+	end := connectionEnd(x.request.Context())
+	return end != "" && end != endedByTimeout
+}
+
+// endReason returns the reason for a request whose context has ended.
+func (x *exchange) endReason() refusal.Reason {
+	if x.hasClientLeft() {
+		return refusal.Cancelled
+	}
+	return x.deadlineReason()
+}
+
 // deadlineReason returns the reason for a request whose deadline has passed. Full
 // promises that the request has not run, so it is used only where no target may
 // have run it.
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -88,7 +88,7 @@
 
 // abortStream closes the client's connection in the middle of a stream.
 func (x *exchange) abortStream(ctx context.Context, err error) {
-	if x.request.Context().Err() != nil {
+	if x.hasClientLeft() {
 		x.finish(0, string(refusal.Cancelled))
 		panic(http.ErrAbortHandler)
 	}
