--- a/cmd/standin/soak_check_test.go
+++ b/cmd/standin/soak_check_test.go
@@ -10,6 +10,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"bluebellcrank/internal/state/event"
+	"bluebellcrank/internal/state/refusal"
 )
 
 // checkAfterFaults runs callers once every entry is ready, and checks that at least nine
@@ -43,7 +46,7 @@
 		switch {
 		case repeat != "":
 			fail(a, repeat)
-		case a.status == http.StatusOK && !a.hasSignature:
+		case a.status >= 200 && a.status < 300 && !a.hasSignature:
 			fail(a, "a success without a target's signature")
 		case a.status == http.StatusOK && a.complete && !a.streaming && a.body != "struck for "+a.id:
 			fail(a, "the answer belongs to another request: "+a.body)
@@ -110,12 +113,21 @@
 	}
 }
 
-// checkLogs fails the test if an entry logged a data race or a panic, and prints
-// the entries' logs of a failed run.
+// checkLogs fails the test if an entry logged a data race or a panic, left a request without an
+// answer, or ended a connection by a time-out of its own though it had read the whole request.
+// It prints the entries' logs of a failed run.
 func (s *soakRun) checkLogs() {
+	unanswered, tooSlow := fmt.Sprintf(`"event":%d,`, event.RequestUnanswered.Number()), fmt.Sprintf(`"reason":%q`, refusal.TooSlow)
 	for _, e := range s.entries {
-		if log := s.logOf(e); strings.Contains(log, "DATA RACE") || strings.Contains(log, "panic:") {
-			s.t.Errorf("%s logged a data race or a panic", e.name)
+		for line := range strings.Lines(s.logOf(e)) {
+			switch {
+			case strings.Contains(line, "DATA RACE"), strings.Contains(line, "panic:"):
+				s.t.Errorf("%s logged a data race or a panic", e.name)
+			case strings.Contains(line, unanswered):
+				s.t.Errorf("%s left a request without an answer: %s", e.name, line)
+			case strings.Contains(line, `"connection-end":"time-out"`) && !strings.Contains(line, tooSlow):
+				s.t.Errorf("%s ended a connection by its own time-out: %s", e.name, line)
+			}
 		}
 	}
 	if s.t.Failed() {
--- a/cmd/standin/soak_series_test.go
+++ b/cmd/standin/soak_series_test.go
@@ -69,10 +69,13 @@
 	found  []string
 }
 
-// randomVictim returns one of the entries to which faults happen. To the others only
-// those of the store do.
+// victims returns the entries to which faults happen. To the others only those of the store
+// do.
+func (s *seriesSoak) victims() []*soakEntry { return s.entries[:(len(s.entries)+1)/2] }
+
+// randomVictim returns one of the entries to which faults happen.
 func (s *seriesSoak) randomVictim(r *rand.Rand) *soakEntry {
-	return s.entries[r.IntN((len(s.entries)+1)/2)]
+	return s.victims()[r.IntN(len(s.victims()))]
 }
 
 func (s *seriesSoak) fail(format string, values ...any) {
@@ -343,20 +346,31 @@
 func (s *seriesSoak) exchange(conn net.Conn, reader *bufio.Reader, a *soakAttempt) error {
 	body := s.bodies[int(s.lastAttempt.Load())%len(s.bodies)]
 	request := s.newRequest(*a, conn.RemoteAddr().String(), soakPath(a.streaming), body)
-	if err := conn.SetDeadline(time.Now().Add(soakRecoveryTimeout)); err != nil {
+	if err := a.send(conn, request); err != nil {
 		return err
 	}
-	if err := request.Write(conn); err != nil {
+	_, err := a.receive(reader, request)
+	return err
+}
+
+// send sends the request of the attempt on a connection.
+func (a *soakAttempt) send(conn net.Conn, request *http.Request) error {
+	if err := conn.SetDeadline(time.Now().Add(soakRecoveryTimeout)); err != nil {
 		return err
 	}
+	return request.Write(conn)
+}
+
+// receive reads the answer, and whether it closes the connection.
+func (a *soakAttempt) receive(reader *bufio.Reader, request *http.Request) (closes bool, err error) {
 	response, err := http.ReadResponse(reader, request)
 	if err != nil {
-		return err
+		return false, err
 	}
 	a.status, a.hasSignature = response.StatusCode, response.Header.Get("Server-Signature") != ""
 	answer, err := io.ReadAll(response.Body)
 	a.body, a.complete = string(answer), err == nil
-	return err
+	return response.Close, err
 }
 
 // probeRoutes asks for routes that versions of the configuration added and dropped,
--- a/cmd/standin/soak_test.go
+++ b/cmd/standin/soak_test.go
@@ -133,6 +133,8 @@
 
 	mu      sync.Mutex
 	gapGoal time.Duration
+	// firstByteGoal is the time by which the routes' answers should begin.
+	firstByteGoal time.Duration
 	// withoutResumption has streams run once at most.
 	withoutResumption bool
 	// orderTargets is how many targets an order may be sent to, and slots how many requests
@@ -172,20 +174,21 @@
 func newSoakRun(t *testing.T, seed uint64, revocation time.Duration) *soakRun {
 	s := &soakRun{
 		t: t, c: qt.New(t), dir: t.TempDir(),
-		seed:         seed,
-		random:       rand.New(rand.NewPCG(seed, 1)),
-		store:        standin.NewStore(),
-		gapGoal:      soakGapGoal,
-		timeout:      soakTimeout,
-		gracePeriod:  soakGracePeriod,
-		orderTargets: 1,
-		slots:        16,
-		bodies:       []string{soakBody},
-		binary:       filepath.Join(binaryDir, "bluebellcrank"),
-		runCounts:    runCounter{counts: map[string]int{}},
-		refusals:     refusals{random: rand.New(rand.NewPCG(seed, 6))},
-		servers:      map[string]map[string]any{},
-		keys:         []string{soakKey, soakRemovedKey},
+		seed:          seed,
+		random:        rand.New(rand.NewPCG(seed, 1)),
+		store:         standin.NewStore(),
+		gapGoal:       soakGapGoal,
+		firstByteGoal: 500 * time.Millisecond,
+		timeout:       soakTimeout,
+		gracePeriod:   soakGracePeriod,
+		orderTargets:  1,
+		slots:         16,
+		bodies:        []string{soakBody},
+		binary:        filepath.Join(binaryDir, "bluebellcrank"),
+		runCounts:     runCounter{counts: map[string]int{}},
+		refusals:      refusals{random: rand.New(rand.NewPCG(seed, 6))},
+		servers:       map[string]map[string]any{},
+		keys:          []string{soakKey, soakRemovedKey},
 	}
 	store := httptest.NewServer(http.HandlerFunc(s.serveStore))
 	t.Cleanup(func() {
@@ -354,7 +357,7 @@
 	route := func(name, kind, service string, targets int) map[string]any {
 		return map[string]any{
 			"name": name, "host": "guild.example", "pathPrefix": "/" + name + "/", "routeKind": kind, "service": service,
-			"maxAttempts": targets, "timeoutMs": s.timeout.Milliseconds(), "targetLatencyMs": 500, "gapAimMs": s.gapGoal.Milliseconds(), "streamResumption": kind == "streaming" && !s.withoutResumption,
+			"maxAttempts": targets, "timeoutMs": s.timeout.Milliseconds(), "targetLatencyMs": s.firstByteGoal.Milliseconds(), "gapAimMs": s.gapGoal.Milliseconds(), "streamResumption": kind == "streaming" && !s.withoutResumption,
 		}
 	}
 	routes := []any{route("order", "non_idempotent", "bells", s.orderTargets), route("draft", "streaming", "drafts", 2)}
--- a/internal/transport/gateway/answered.go
+++ b/internal/transport/gateway/answered.go
@@ -41,7 +41,7 @@
 		return endedByReset
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return endedByTimeout
-	case errors.Is(err, net.ErrClosed):
+	case err == nil, errors.Is(err, net.ErrClosed):
 		return endedHere
 	}
 	return endedOtherwise
--- a/internal/transport/process/guard.go
+++ b/internal/transport/process/guard.go
@@ -144,8 +144,10 @@
 	mu                    sync.Mutex
 	headBytes, headFields int
 	headCharge            int64
-	// ended is the error of the last read or write that failed; nil if none has.
-	ended error
+	// ended is the error of the last read or write that failed; nil if none has. isInterrupted
+	// is set while the server interrupts a read.
+	ended         error
+	isInterrupted bool
 }
 
 // closeAsVictim closes the connection for the sake of others. The server notices it and calls
@@ -187,6 +189,15 @@
 	return n, err
 }
 
+// SetReadDeadline implements net.Conn. With a deadline in the past, the server interrupts its
+// read ahead.
+func (c *GuardedConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.isInterrupted = !t.IsZero() && t.Before(time.Now())
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
+
 // recordError keeps the error of a read or a write.
 func (c *GuardedConn) recordError(err error) {
 	if err == nil {
@@ -194,7 +205,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ended = err
+	if !c.isInterrupted || !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.ended = err
+	}
 }
 
 // Err returns the error of the last read or write that failed, or nil. It tells why the
