Clients are not closed as slow or idle for a pause of the entry

What callers would see: a closed connection in place of an answer, when the entry stands still and the head of a request, or a request on an idle connection, arrives meanwhile.

Cause: the time limits of heads and of idle connections count the time in which the entry did not run, and are checked before what has arrived is read: a pause of the entry is taken for a slow client.

Change: for half a second after a pause, no connection is closed by them.

Result: TestClientIsNotClosedForAPauseOfTheEntry failed before in 2 of 4 rows (the others are clients that are slow or silent); it passes now.

--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -69,6 +69,9 @@
 	// route or key may have been added since, so that the request is refused as
 	// not ready instead of unknown.
 	staleConfigAge = 2 * time.Second
+	// readAfterPause is the time after a pause of the process in which it reads what clients
+	// have sent meanwhile.
+	readAfterPause = 500 * time.Millisecond
 	// settingsPollInterval is the time between two reads of the settings file,
 	// which may change without a signal.
 	settingsPollInterval = 2 * time.Second
@@ -291,8 +294,12 @@
 	}
 }
 
-// closeConnections closes the connections of clients that exceed a time limit.
+// closeConnections closes the connections of clients that exceed a time limit. What arrived
+// while the process stood still is read first.
 func (g *Gateway) closeConnections(limits routing.Limits, now time.Time) {
+	if g.pauses.HasPaused(now.Add(-readAfterPause), now) {
+		return
+	}
 	if limits.IdleTimeout > 0 {
 		g.clients.closeIdle(limits.IdleTimeout, now)
 	}
--- a/internal/transport/gateway/standstill_test.go
+++ b/internal/transport/gateway/standstill_test.go
@@ -18,6 +18,7 @@
 	"bluebellcrank/internal/coordination/balance"
 	"bluebellcrank/internal/state/event"
 	"bluebellcrank/internal/state/refusal"
+	"bluebellcrank/internal/state/routing"
 	"bluebellcrank/platform/standin"
 )
 
@@ -266,6 +267,47 @@
 	}
 }
 
+// TestClientIsNotClosedForAPauseOfTheEntry guards against an entry that stood still and closes
+// the connections of clients before it has read what they sent meanwhile.
+func TestClientIsNotClosedForAPauseOfTheEntry(t *testing.T) {
+	t.Parallel()
+	limits := routing.Limits{HeaderTimeout: shortTime, IdleTimeout: shortTime}
+	tests := []struct {
+		name     string
+		text     string // what the client has sent
+		hasPause bool
+		want     int // the number of open connections
+	}{
+		{"head, the entry stood still", "GET / HTTP/1.1\r\n", true, 1},
+		{"head, the client is slow", "GET / HTTP/1.1\r\n", false, 0},
+		{"idle, the entry stood still", keptRequest("GET", status, "a-1", longTime, noBody), true, 1},
+		{"idle, the client sends nothing", keptRequest("GET", status, "a-1", longTime, noBody), false, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			env := newTestEnv(t)
+			g := env.gateway
+			k := dialKept(c, env.address)
+			defer func() { _ = k.conn.Close() }()
+			_, err := io.WriteString(k.conn, tt.text)
+			c.Assert(err, qt.IsNil)
+			env.eventually("the connection is idle or sends a head", func() bool {
+				g.clients.mu.Lock()
+				defer g.clients.mu.Unlock()
+				return len(g.clients.idle)+len(g.clients.headers) == 1
+			})
+			now := time.Now().Add(2 * shortTime)
+			if tt.hasPause {
+				now = now.Add(time.Second)
+			}
+			g.closeConnections(limits, now)
+			c.Check(g.clients.openCount(), qt.Equals, tt.want)
+		})
+	}
+}
+
 // TestHandlerWithoutAnswerClosesTheConnection guards against the empty 200 that the HTTP library
 // sends for a handler that returns without an answer.
 func TestHandlerWithoutAnswerClosesTheConnection(t *testing.T) {
