An attempt that times out in a pause of the entry says nothing about its target

What callers would see: 503 for requests of a sound service, for up to 4 s after the entry stood still past the deadlines of requests under way: each of them counted as a failure of its target, which was suspended.

Cause: the pause of the entry is taken for the target's. An answer may have waited in the entry's own sockets.

Change: an attempt that a time limit of the entry ended counts neither for nor against its target if the process has paused since the attempt began, or brought its last event. Pauses of less than 0.4 s are still not noticed.

Result: TestAttemptThatTimesOutInAPauseSaysNothingAboutItsTarget failed before in the row of the pause; it passes now, and the row of a target that is slow itself, which stays suspended, passed before too.

--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -299,14 +300,16 @@
 // targetFailed ends the lease of a target that gave no complete answer. A request
 // that its client cancelled, or that moves to another target because the rank
 // group is stalled or slowed down, does not count against the target, nor does a
-// standby that is not needed any more, nor an attempt that a second request overtook.
+// standby that is not needed any more, nor an attempt that a second request overtook, nor
+// one that timed out while this process stood still, when an answer may have waited.
 func (x *exchange) targetFailed(lease *balance.Lease, err error) {
 	ended := x.recordEnd(lease, err)
 	event.AttemptFailed.Log(x.gateway.log, "id", x.client.AttemptID, "target", lease.Target().ID,
 		"error", err.Error(), "cause", x.causeText(), "may-have-run", x.mayHaveRun, "events", x.attemptEvents,
 		"silent-ms", time.Since(x.attemptActiveAt).Milliseconds(), "target-ended", ended,
 		"prompt-parts", strings.Join(x.client.PromptParts, ","), "keys", keyNames(x.suspect))
-	if x.request.Context().Err() != nil || errors.Is(err, errStalled) || errors.Is(err, errSlow) || errors.Is(err, errNotNeeded) || errors.Is(err, errSecondFaster) {
+	if x.request.Context().Err() != nil || errors.Is(err, errStalled) || errors.Is(err, errSlow) || errors.Is(err, errNotNeeded) || errors.Is(err, errSecondFaster) ||
+		isTimeout(err) && x.gateway.pauses.HasPaused(x.attemptActiveAt, time.Now()) {
 		lease.Done(balance.Abandoned, 0, time.Now())
 		return
 	}
@@ -325,6 +328,11 @@
 	lease.Done(balance.Failed, 0, time.Now())
 }
 
+// isTimeout reports whether an attempt was ended by a time limit of this entry.
+func isTimeout(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded)
+}
+
 // targetRefused ends the lease of a target that did not run the request.
 func (x *exchange) targetRefused(lease *balance.Lease, res *upstream.Response, info platform.Answer) {
 	event.TargetRefused.Log(x.gateway.log, "id", x.client.AttemptID, "target", lease.Target().ID, "status", res.StatusCode,
--- a/internal/transport/gateway/standstill_test.go
+++ b/internal/transport/gateway/standstill_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -267,6 +268,47 @@
 	}
 }
 
+// TestAttemptThatTimesOutInAPauseSaysNothingAboutItsTarget guards against targets that are
+// suspended because the entry stood still past the deadline of a request.
+func TestAttemptThatTimesOutInAPauseSaysNothingAboutItsTarget(t *testing.T) {
+	tests := []struct {
+		name     string
+		hasPause bool
+		want     int
+	}{
+		{"the entry stood still", true, 200},
+		{"the target is slow", false, 503},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			env := newTestEnv(t)
+			var runs atomic.Int32
+			env.addTarget(&standin.Target{ID: "t-0", Handler: func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body) // the server reads ahead only behind the body
+				if runs.Add(1) == 1 {
+					<-r.Context().Done()
+				}
+				_, _ = io.WriteString(w, "done")
+			}}, "t-0", "bells")
+			env.eventually("the target is known", func() bool { return len(env.gateway.fleet.Targets(time.Now())) == 1 })
+			var pausing sync.WaitGroup
+			if tt.hasPause {
+				pausing.Go(func() {
+					env.eventually("the target runs the request", func() bool { return runs.Load() == 1 })
+					env.gateway.pauses.Tick(time.Now().Add(time.Second))
+				})
+			}
+			k := dialKept(c, env.address)
+			defer func() { _ = k.conn.Close() }()
+			c.Check(k.do("POST", keptRequest("POST", order, "a-1", shortTime, smallBody)).status, qt.Equals, 504)
+			pausing.Wait()
+			c.Check(k.do("POST", keptRequest("POST", order, "a-2", longTime, smallBody)).status, qt.Equals, tt.want)
+		})
+	}
+}
+
 // TestClientIsNotClosedForAPauseOfTheEntry guards against an entry that stood still and closes
 // the connections of clients before it has read what they sent meanwhile.
 func TestClientIsNotClosedForAPauseOfTheEntry(t *testing.T) {
