Connection ends and body reads in files of their own

Cause: answered.go had three subjects, and standstill_test.go tests of answers.

Change: functions and tests moved, one comment reworded; no other change.

--- a/internal/transport/gateway/answered.go
+++ b/internal/transport/gateway/answered.go
@@ -3,69 +3,12 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"os"
-	"syscall"
-	"time"
 
 	"bluebellcrank/internal/state/event"
 	"bluebellcrank/platform"
 )
 
-// The causes for which the context of a connection ends.
-const (
-	endedByClient  = "client"   // closed or shut down for sending
-	endedByReset   = "reset"    // by the client or the network
-	endedByTimeout = "time-out" // of this entry
-	endedHere      = "closed"   // by this entry
-	endedOtherwise = "other"
-)
-
-// connectionEnd returns why the context of a request's connection has ended, or an empty text
-// if it has not.
-func connectionEnd(ctx context.Context) string {
-	if ctx.Err() == nil {
-		return ""
-	}
-	var err error
-	if c := guardedConnIn(ctx); c != nil {
-		err = c.Err()
-	}
-	switch {
-	case errors.Is(err, io.EOF):
-		return endedByClient
-	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
-		return endedByReset
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return endedByTimeout
-	case err == nil, errors.Is(err, net.ErrClosed):
-		return endedHere
-	}
-	return endedOtherwise
-}
-
-// readBefore reads the body of a request, with a deadline on the reads of its connection. A
-// request without a body gets none: the server reads ahead on the connection, to notice that the
-// client leaves, and a time-out of that read would end the context of all its requests. Behind
-// a body, the server lifts the deadline before it reads ahead. A connection whose body was not
-// read to its end carries no other request.
-func readBefore(w http.ResponseWriter, r *http.Request, deadline time.Time, read func(body io.ReadCloser) ([]byte, error)) ([]byte, error) {
-	if r.Body == http.NoBody {
-		return read(r.Body)
-	}
-	if err := http.NewResponseController(w).SetReadDeadline(deadline); err != nil {
-		return nil, err
-	}
-	content, err := read(r.Body)
-	if err != nil {
-		w.Header().Set("Connection", "close")
-	}
-	return content, err
-}
-
 // errNotBegun is the error of a flush before the answer's status is known.
 var errNotBegun = errors.New("the answer has not begun")
 
@@ -132,8 +75,3 @@
 		}
 	}
 }
-
-// countEndedConnection counts a request whose connection ended before its handler did.
-func (m *entryMetrics) countEndedConnection(cause string) {
-	m.set.GetOrCreateCounter(fmt.Sprintf("bluebellcrank_request_connections_ended_total{cause=%q}", cause)).Inc()
-}
--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -149,9 +149,9 @@
 	return retryDelay(x.gateway.recordOutage(x.service, now))
 }
 
-// hasClientLeft reports whether nobody may wait for the answer any more. A client that has
-// only shut down its sending side can't be told from one that has closed its connection, so
-// the request is still answered.
+// hasClientLeft reports whether the client's connection has ended, other than by a time-out of
+// this entry. The request is still answered: a client that has only shut down its sending side
+// can't be told from one that has closed its connection.
 func (x *exchange) hasClientLeft() bool {
 	end := connectionEnd(x.request.Context())
 	return end != "" && end != endedByTimeout
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -191,6 +191,25 @@
 	return ""
 }
 
+// readBefore reads the body of a request, with a deadline on the reads of its connection. A
+// request without a body gets none: the server reads ahead on the connection, to notice that the
+// client leaves, and a time-out of that read would end the context of all its requests. Behind
+// a body, the server lifts the deadline before it reads ahead. A connection whose body was not
+// read to its end carries no other request.
+func readBefore(w http.ResponseWriter, r *http.Request, deadline time.Time, read func(body io.ReadCloser) ([]byte, error)) ([]byte, error) {
+	if r.Body == http.NoBody {
+		return read(r.Body)
+	}
+	if err := http.NewResponseController(w).SetReadDeadline(deadline); err != nil {
+		return nil, err
+	}
+	content, err := read(r.Body)
+	if err != nil {
+		w.Header().Set("Connection", "close")
+	}
+	return content, err
+}
+
 // readAll reads a request body, whose memory is charged to the client as the body arrives,
 // whatever size the client states.
 func (x *exchange) readAll(body io.Reader) ([]byte, error) {
