An answer whose status is none reaches no client

What callers saw: a server in trouble sent an answer with status 000. The client got what stood in its body as the server's answer, signed.

Cause: the library that reads heads takes any three signs that are a number of 0 or more for a status, and the entry took each status below 200 for that of an informational answer, which it skips: 000, 099, +20. What follows is then read as the answer. A 101 was skipped as well, though nobody asks for another protocol; a 600 was passed on, and so were an answer of HTTP/2.0 and a control byte in the reason.

Change: connections to targets check each head, informational and skipped ones included, before it is passed on: its status line is one by RFC 9112 (section 4), with a status by RFC 9110 (section 15).

--- a/internal/protocol/answers/conn_test.go
+++ b/internal/protocol/answers/conn_test.go
@@ -10,6 +10,8 @@
 	qt "github.com/frankban/quicktest"
 )
 
+const head = "HTTP/1.1 200 OK\r\n\r\n"
+
 // connect returns a connection and the peer's side of it.
 func connect(t *testing.T) (*Conn, *net.TCPConn) {
 	c := qt.New(t)
@@ -32,7 +34,7 @@
 func TestErrorOfAWriteIsNoEndInOrder(t *testing.T) {
 	c := qt.New(t)
 	conn, peer := connect(t)
-	_, err := io.WriteString(peer, "part")
+	_, err := io.WriteString(peer, head+"part")
 	c.Assert(err, qt.IsNil)
 	c.Assert(peer.SetLinger(0), qt.IsNil)
 	c.Assert(peer.Close(), qt.IsNil)
@@ -40,7 +42,7 @@
 		_, err = conn.Write(make([]byte, 1<<10))
 	}
 	got, err := io.ReadAll(conn)
-	c.Check(string(got), qt.Equals, "part")
+	c.Check(string(got), qt.Equals, head+"part")
 	c.Check(err, qt.Not(qt.IsNil))
 	_, err = conn.Conn.Read(make([]byte, 1))
 	c.Check(errors.Is(err, io.EOF), qt.IsTrue, qt.Commentf("the system: %v", err))
@@ -75,12 +77,12 @@
 			conn, peer := connect(t)
 			conn.WriteBeside(tt.request)
 			go func() {
-				_, _ = io.WriteString(peer, "answers")
+				_, _ = io.WriteString(peer, head+"answers")
 				tt.end(peer)
 				_ = peer.Close()
 			}()
 			got, err := io.ReadAll(conn)
-			c.Check(string(got), qt.Equals, "answers")
+			c.Check(string(got), qt.Equals, head+"answers")
 			c.Check(err == nil, qt.Equals, tt.isWhole, qt.Commentf("%v", err))
 		})
 	}
--- a/internal/protocol/answers/doc.go
+++ b/internal/protocol/answers/doc.go
@@ -1,3 +1,3 @@
-// Package answers reads HTTP/1.1 answers from connections: it decides when an answer that has
-// no length is complete.
+// Package answers reads HTTP/1.1 answers from connections: it decides which heads are heads of
+// answers, and when an answer that has no length is complete.
 package answers
--- a/internal/transport/gateway/faulty_test.go
+++ b/internal/transport/gateway/faulty_test.go
@@ -25,7 +25,8 @@
 	answer func(request *http.Request) (bytes string, hasRun bool)
 	// closes has each connection closed after its first answer.
 	closes bool
-	runs   atomic.Int64
+	// runs counts the requests that have run, and closed the connections that have ended.
+	runs, closed atomic.Int64
 }
 
 // addRawTarget starts a raw target and lists it for a service.
@@ -48,6 +49,7 @@
 }
 
 func (t *rawTarget) serve(conn net.Conn) {
+	defer t.closed.Add(1)
 	defer func() { _ = conn.Close() }()
 	r := bufio.NewReader(conn)
 	for {
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -103,7 +103,20 @@
 // hasRoom reports whether the connection may carry another request, and nothing waits to be
 // read from it.
 func (c *conn) hasRoom() bool {
-	return len(c.carried) < maxRequestsPerConn && c.reader.Buffered() == 0
+	return len(c.carried) < maxRequestsPerConn && !c.hasUnread()
+}
+
+// hasUnread reports whether bytes were received that belong to no response so far.
+func (c *conn) hasUnread() bool { return c.reader.Buffered() > 0 || c.HasUnread() }
+
+// awaitHead has the next bytes checked as the head of a response, those in the read buffer
+// included.
+func (c *conn) awaitHead() {
+	// Peek cannot fail for bytes that are buffered.
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.Unread(buffered)
+	c.reader.Reset(c.limit)
+	c.AwaitHead()
 }
 
 // abort closes a connection whose request got no complete response. It resets
@@ -120,7 +133,7 @@
 // isReusable reports whether an idle connection is open and has no unsolicited
 // bytes to read.
 func (c *conn) isReusable() bool {
-	if c.reader.Buffered() > 0 {
+	if c.hasUnread() {
 		return false
 	}
 	t, ok := c.Conn.Conn.(*net.TCPConn)
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -208,6 +208,7 @@
 	isFirst := len(res.conn.carried) == 1
 	for range maxStrayResponses + 1 {
 		limit.remaining = maxHeadBytes
+		res.conn.awaitHead()
 		response, err := http.ReadResponse(res.conn.reader, request)
 		if err != nil {
 			return err
