A client of HTTP/1.0 notices an answer that breaks off

What callers would see: an answer that turns out broken after its head was sent, complete as it seems, where the client speaks HTTP/1.0.

Cause: the entry closes the connection of an answer that breaks off. Over HTTP/1.1 the last chunk is missing then. HTTP/1.0 has no chunks: an answer without a length is complete when its connection ends in order.

--- a/internal/transport/gateway/clients.go
+++ b/internal/transport/gateway/clients.go
@@ -45,6 +45,9 @@
 	closed    sync.Once
 }
 
+// NetConn returns the wrapped connection.
+func (c *clientConn) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *clientConn) Close() error {
 	c.closed.Do(func() { c.clients.removed(c) })
@@ -121,6 +124,12 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
+// connIn returns the connection of a request, given its context, or nil.
+func connIn(ctx context.Context) net.Conn {
+	conn, _ := ctx.Value(connKey{}).(net.Conn)
+	return conn
+}
+
 // headerBegan records that the first byte of a request was read. It reports whether the
 // request is to be served.
 func (c *clientConns) headerBegan(conn *clientConn, now time.Time) bool {
@@ -139,9 +148,7 @@
 func (c *clientConns) headerRead(ctx context.Context) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if conn, ok := ctx.Value(connKey{}).(net.Conn); ok {
-		delete(c.headers, conn)
-	}
+	delete(c.headers, connIn(ctx))
 }
 
 // stateChanged is the ConnState hook of the http.Server.
--- a/internal/transport/gateway/guard.go
+++ b/internal/transport/gateway/guard.go
@@ -31,10 +31,7 @@
 }
 
 // guardedConnIn returns the guarded connection of a request, given its context, or nil.
-func guardedConnIn(ctx context.Context) *process.GuardedConn {
-	conn, _ := ctx.Value(connKey{}).(net.Conn)
-	return guardedConnOf(conn)
-}
+func guardedConnIn(ctx context.Context) *process.GuardedConn { return guardedConnOf(connIn(ctx)) }
 
 // setPhase records what the client of the exchange does from now on.
 func (x *exchange) setPhase(p clientlimit.Phase) {
--- a/internal/transport/gateway/plain.go
+++ b/internal/transport/gateway/plain.go
@@ -14,6 +14,7 @@
 	"bluebellcrank/internal/state/event"
 	"bluebellcrank/internal/state/refusal"
 	"bluebellcrank/internal/state/routing"
+	"bluebellcrank/internal/transport/process"
 	"bluebellcrank/internal/transport/upstream"
 	"bluebellcrank/platform"
 )
@@ -426,5 +427,15 @@
 		"cause", x.causeText(), "no-retry", x.noRetry, "events", x.attemptEvents,
 		"silent-ms", now.Sub(x.attemptActiveAt).Milliseconds(), "stop-ms", x.gateway.sinceStop(now).Milliseconds())
 	x.finish(0, string(refusal.AnswerLost))
+	x.breakOff()
+}
+
+// breakOff ends the handler and closes the client's connection, so that an answer that has begun
+// does not look complete. HTTP/1.1 misses the last chunk then; HTTP/1.0 has none, so that the
+// connection is reset.
+func (x *exchange) breakOff() {
+	if !x.request.ProtoAtLeast(1, 1) {
+		process.ResetOnClose(connIn(x.request.Context()))
+	}
 	panic(http.ErrAbortHandler)
 }
--- a/internal/transport/gateway/stream.go
+++ b/internal/transport/gateway/stream.go
@@ -90,7 +90,7 @@
 func (x *exchange) abortStream(ctx context.Context, err error) {
 	if x.hasClientLeft() {
 		x.finish(0, string(refusal.Cancelled))
-		panic(http.ErrAbortHandler)
+		x.breakOff()
 	}
 	x.abort(errors.Join(err, ctx.Err()))
 }
--- a/internal/transport/process/guard.go
+++ b/internal/transport/process/guard.go
@@ -157,6 +157,9 @@
 	_ = c.Conn.Close()
 }
 
+// NetConn returns the wrapped connection.
+func (c *GuardedConn) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *GuardedConn) Close() error {
 	if c.guard.hasServerStates {
--- a/internal/transport/process/listener.go
+++ b/internal/transport/process/listener.go
@@ -31,6 +31,9 @@
 	timeout time.Duration
 }
 
+// NetConn returns the wrapped connection.
+func (c *writeTimeoutConn) NetConn() net.Conn { return c.Conn }
+
 // Write implements net.Conn.
 func (c *writeTimeoutConn) Write(p []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
