Answers of stores, engines, agents and entries are checked in the same way

What callers would see: the answer of a target whose head is none, through the programs entry and agent; an order, a write or a configuration that counts as confirmed by an answer that is none. Found by asking where else answers are read; not seen in a run of processes.

Change: all clients use connections that check heads and ends: SerialConn for those of fasthttp, and Transport for those of net/http, which says when the next head is due. The messages between agents are not HTTP.

Result: all rows pass, with -race; a connection that brought a broken head is not kept, and sound answers are read, also after an informational one.

--- a/internal/protocol/attempt/client.go
+++ b/internal/protocol/attempt/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"bluebellcrank/internal/protocol/answers"
 )
 
 const (
@@ -184,7 +186,7 @@
 	if err != nil {
 		return nil, &unsentError{err: err}
 	}
-	return &deadlineConn{Conn: conn, readTimeout: c.readTimeout}, nil
+	return &deadlineConn{Conn: answers.NewSerialConn(conn), readTimeout: c.readTimeout}, nil
 }
 
 // KeepOnly closes the idle connections to all addresses that are not listed and
--- a/internal/protocol/engine/client.go
+++ b/internal/protocol/engine/client.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"bluebellcrank/internal/protocol/answers"
 )
 
 // maxAnswerBytes limits the memory that one answer uses. Reports have some kB.
@@ -17,7 +19,7 @@
 var singleClient = newClient()
 
 func newClient() *fasthttp.Client {
-	return &fasthttp.Client{MaxResponseBodySize: maxAnswerBytes}
+	return &fasthttp.Client{DialTimeout: answers.DialTimeout, MaxResponseBodySize: maxAnswerBytes}
 }
 
 // callOnce makes a call on a connection of its own.
--- a/internal/protocol/platform/client.go
+++ b/internal/protocol/platform/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"bluebellcrank/internal/protocol/answers"
 	"bluebellcrank/internal/protocol/nesting"
 	"bluebellcrank/internal/state/target"
 )
@@ -63,6 +64,7 @@
 		timeout: timeout,
 		newest:  newGeneration(),
 		http: &fasthttp.Client{
+			DialTimeout:               answers.DialTimeout,
 			MaxConnsPerHost:           maxConnsPerHost,
 			MaxIdemponentCallAttempts: 1,
 			MaxResponseBodySize:       2 * maxValueBytes,
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -15,6 +15,8 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/samber/lo"
+
+	"bluebellcrank/internal/protocol/answers"
 )
 
 const (
@@ -45,7 +47,7 @@
 }
 
 func newEntryPeers(self string, log hclog.Logger) *entryPeers {
-	return &entryPeers{self: self, client: &http.Client{Timeout: maxPeerRoundTrip}, log: log, namesNoCalls: map[string]bool{}}
+	return &entryPeers{self: self, client: &http.Client{Timeout: maxPeerRoundTrip, Transport: answers.NewDefaultTransport()}, log: log, namesNoCalls: map[string]bool{}}
 }
 
 // set sets the addresses of the other entries by their names, and which of them are in the
--- a/internal/transport/gateway/peers_test.go
+++ b/internal/transport/gateway/peers_test.go
@@ -97,3 +97,41 @@
 		})
 	}
 }
+
+// TestEntryWithABrokenHeadLendsNothing guards against calls of other entries whose answers are
+// read without the check of their heads.
+func TestEntryWithABrokenHeadLendsNothing(t *testing.T) {
+	const body = `{"lent":true}`
+	tests := []struct {
+		name, head string
+		isTold     bool
+	}{
+		{"sound", "HTTP/1.1 200 OK\r\n", true},
+		{"after an informational answer", "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 OK\r\n", true},
+		{"a blank behind a name", "HTTP/1.1 200 OK\r\nX : y\r\n", false},
+		{"a blank in a name of a 103", "HTTP/1.1 103 X\r\nX Y: z\r\n\r\nHTTP/1.1 200 OK\r\n", false},
+		{"status 000", "HTTP/1.1 000 OK\r\n", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = l.Close() }()
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", tt.head, len(body), body)
+				}
+			}()
+			var reply loanReply
+			err = newEntryPeers("127.0.0.1:1", hclog.NewNullLogger()).call(t.Context(), http.MethodPost, "http://"+l.Addr().String()+pathLoan, &reply)
+			c.Check(err == nil, qt.Equals, tt.isTold, qt.Commentf("%v", err))
+			c.Check(reply.Lent, qt.Equals, tt.isTold)
+		})
+	}
+}
--- a/internal/transport/rankagent/pacenotice.go
+++ b/internal/transport/rankagent/pacenotice.go
@@ -13,6 +13,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"bluebellcrank/internal/protocol/answers"
 	"bluebellcrank/internal/protocol/pace"
 	"bluebellcrank/internal/state/event"
 	"bluebellcrank/platform"
@@ -66,7 +67,7 @@
 }
 
 func newPaceNotifier(store *platform.Store, port int, log hclog.Logger) *paceNotifier {
-	return &paceNotifier{store: store, client: &http.Client{Timeout: paceNoticeTimeout}, port: port, log: log, next: make(chan []pace.Engine, 1)}
+	return &paceNotifier{store: store, client: &http.Client{Timeout: paceNoticeTimeout, Transport: answers.NewDefaultTransport()}, port: port, log: log, next: make(chan []pace.Engine, 1)}
 }
 
 // offer has a notice sent.
