--- a/internal/transport/gateway/brokenanswer_test.go
+++ b/internal/transport/gateway/brokenanswer_test.go
@@ -122,3 +122,37 @@
 		})
 	}
 }
+
+// TestSoundEarlyAnswerIsServed has targets answer long requests before they have read them.
+func TestSoundEarlyAnswerIsServed(t *testing.T) {
+	body := eventText(1, 2)
+	unsized := signedHead + "\r\n" + body
+	sized := signedHead + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+	tests := []struct {
+		name   string
+		target hastyTarget
+	}{
+		{"without a length, the request is read", hastyTarget{unsized, 0, readRequest}},
+		{"without a length, the sending side is shut down first", hastyTarget{unsized, 0, closeSending}},
+		{"with a length, the request is read", hastyTarget{sized, 0, readRequest}},
+		{"with a length, the request is not read", hastyTarget{sized, 0, closeConn}},
+		{"with a length, reset", hastyTarget{sized, 12 << 10, resetConn}},
+		{"after an informational answer", hastyTarget{"HTTP/1.1 103 X\r\n\r\n" + unsized, 0, readRequest}},
+	}
+	for _, tt := range tests {
+		for _, r := range []route{order, single} {
+			t.Run(tt.name+"/"+r.name, func(t *testing.T) {
+				t.Parallel()
+				env := newTestEnv(t)
+				env.addHastyTarget(&tt.target, "t-0", r.service)
+				env.eventually("target is known", func() bool { return len(env.gateway.fleet.Targets(time.Now())) == 1 })
+				for n := range 10 {
+					got := env.do(env.request(r, fmt.Sprint("u-", n), strings.Repeat("x", 17<<10+n*90<<10)))
+					env.c.Check(got.status, qt.Equals, 200)
+					env.c.Check(got.body, qt.Equals, body)
+					env.c.Check(got.broken, qt.IsFalse)
+				}
+			})
+		}
+	}
+}
--- a/internal/transport/gateway/brokenhead_test.go
+++ b/internal/transport/gateway/brokenhead_test.go
@@ -13,9 +13,12 @@
 	"bluebellcrank/internal/state/event"
 )
 
-// TestBrokenHeadReachesNoClient guards against an answer that a client gets although its head
-// is none by RFC 9110 and RFC 9112. The request goes the way of a broken connection.
-func TestBrokenHeadReachesNoClient(t *testing.T) {
+// brokenHead is an answer to the request "a-1" with a head that is none.
+type brokenHead struct{ name, answer string }
+
+// brokenHeads returns answers whose bodies are as long as they state, before the sound one that
+// some are followed by.
+func brokenHeads(sound string) []brokenHead {
 	const (
 		ok      = "HTTP/1.1 200 OK"
 		body    = "id: 1\ndata: broken\n\n"
@@ -27,11 +30,10 @@
 		return head + lines + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
 	}
 	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
-	sound := rawAnswer(200, "Content-Type: text/event-stream\r\n", eventText(1, 1))
 	other := func(lines string) string {
 		return "HTTP/1.1 200 OK\r\nAttempt-Id: a-0\r\n" + lines + "Content-Length: 2\r\n\r\nok"
 	}
-	tests := []struct{ name, answer string }{
+	return []brokenHead{
 		{"status 000", sized("HTTP/1.1 000 X", "")},
 		{"status 099", sized("HTTP/1.1 099 X", "")},
 		{"status 600", sized("HTTP/1.1 600 X", "")},
@@ -68,6 +70,12 @@
 		{"a blank in a name of an answer to another request", other("X : y\r\n") + sound},
 		{"a blank in a name after an answer to another request", other("") + sized(ok, "X : y\r\n")},
 	}
+}
+
+// TestBrokenHeadReachesNoClient guards against an answer that a client gets although its head
+// is none by RFC 9110 and RFC 9112. The request goes the way of a broken connection.
+func TestBrokenHeadReachesNoClient(t *testing.T) {
+	sound := rawAnswer(200, "Content-Type: text/event-stream\r\n", eventText(1, 1))
 	routes := []struct {
 		route  route
 		status int
@@ -78,7 +86,7 @@
 		{draft, 200, eventText(1, 1)},
 		{single, 502, "connection-lost\n"},
 	}
-	for _, tt := range tests {
+	for _, tt := range brokenHeads(sound) {
 		for _, r := range routes {
 			t.Run(tt.name+"/"+r.route.name, func(t *testing.T) {
 				t.Parallel()
@@ -109,7 +117,6 @@
 
 // TestSoundHeadReachesTheClient has targets send heads that are unusual, but sound.
 func TestSoundHeadReachesTheClient(t *testing.T) {
-	const ok = "HTTP/1.1 200 OK"
 	body := eventText(1, 2)
 	sized := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
 	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(body), body)
