--- a/review/lab3/client.go
+++ b/review/lab3/client.go
@@ -20,9 +20,9 @@
 
 // outcome is what a client saw of one attempt.
 type outcome struct {
-	id, sig, contentType, body string
-	status                     int
-	err                        error
+	id, sig, contentType, encoding, body string
+	status                               int
+	err                                  error
 }
 
 // request returns the bytes of a request.
@@ -61,6 +61,7 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	o.status, o.sig, o.contentType = answer.StatusCode, answer.Header.Get("Server-Signature"), answer.Header.Get("Content-Type")
+	o.encoding = answer.Header.Get("Content-Encoding")
 	data, err := io.ReadAll(answer.Body)
 	o.body, o.err = string(data), err
 }
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -22,6 +22,7 @@
 	"added":    addedEntries,
 	"drill":    removedKeyInDrill,
 	"turned":   turnedAwayInDrill,
+	"version":  wantedVersion,
 }
 
 func main() {
--- a/review/lab3/unsigned.go
+++ b/review/lab3/unsigned.go
@@ -11,13 +11,14 @@
 	"time"
 )
 
-// unsignedSuccess has half of the servers of a streaming service spoil one in twenty of their
-// answers: instead of the stream comes a page without the server's signature.
+// unsignedSuccess has half of the servers of a streaming service spoil one in fifty of their
+// answers: instead of the stream comes a page without the server's signature or, every other
+// time, an encoded body with it.
 func unsignedSuccess(w *world) (bool, error) {
 	const (
 		servers  = 4
 		faulty   = 2
-		spoilOne = 20
+		spoilOne = 50
 		requests = 800
 		pieces   = 6
 	)
@@ -39,7 +40,7 @@
 			}
 			mu.Lock()
 			count++
-			spoil := trouble() && n < faulty && count%spoilOne == 0
+			spoil, isEncoded := trouble() && n < faulty && count%spoilOne == 0, count/spoilOne%2 == 0
 			if spoil {
 				spoiled[attempt] = id
 			}
@@ -47,6 +48,10 @@
 			if spoil {
 				w.logf("%s spoils its answer to %s", id, attempt)
 				out.Header().Set("Content-Type", "text/html")
+				if isEncoded {
+					out.Header().Set("Server-Signature", id)
+					out.Header().Set("Content-Encoding", "gzip")
+				}
 				_, _ = fmt.Fprintln(out, "<html>It works!</html>")
 				return
 			}
@@ -81,9 +86,9 @@
 			case o.err != nil || o.status >= 300:
 				other++
 				w.logf("client: %s gets status %d, error %v", o.id, o.status, o.err)
-			case o.sig == "" || !strings.Contains(o.body, fmt.Sprintf("piece %d of %s", pieces, o.id)):
+			case o.sig == "" || o.encoding != "" || !strings.Contains(o.body, fmt.Sprintf("piece %d of %s", pieces, o.id)):
 				wrong++
-				w.logf("client: %s gets status %d, signature %q, type %q, body %q; spoiled by %q", o.id, o.status, o.sig, o.contentType, o.body, spoiled[o.id])
+				w.logf("client: %s gets status %d, signature %q, type %q, encoding %q, body %q; spoiled by %q", o.id, o.status, o.sig, o.contentType, o.encoding, o.body, spoiled[o.id])
 			default:
 				good++
 			}
