Entries that all start tell a restored store from one that lost nothing

Cause: an entry compares the generation of the store with one that it has read itself. One that starts has read none, asked the others, which had just started as well, and took their silence about a newer version for proof. With a log line for what each answer rested on (event 1224, on a copy with the old decision), all three had asked and been answered by two others, none of which was in touch: the first believed itself and the others believed it.

Change: the entries record in the store in which generation the configuration was confirmed, once in each generation. The record goes back with a copy, the generation does not. An entry that starts and reads a record of the present generation is confirmed at once, also where no other entry answers; one that reads an earlier generation waits for an entry in touch, for the operator's write, or for 4 s. Without any record the start counts as the first one, unless the platform says that the system has run before. The operator's write ends the wait also while other entries that are listed do not answer.

--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -75,6 +75,8 @@
 	ConfigRewritten          = declare(1221, hclog.Warn, "configuration written again that the platform's objects had lost")
 	ConfigNotRewritten       = declare(1222, hclog.Warn, "configuration that the platform's objects have lost could not be written again, will retry")
 	MapNotStored             = declare(1223, hclog.Warn, "expert map in force is not stored: planning from the default one")
+	ConfigTrusted            = declare(1224, hclog.Info, "newest version of the configuration known since the start or a restore")
+	ConfirmationNotRecorded  = declare(1225, hclog.Warn, "record of the confirmed configuration could not be read or written")
 	AppliedVersionUnknown    = declare(1216, hclog.Warn, "other entries have not told the newest version of the configuration: nothing is confirmed yet")
 	RequestEnded             = declare(2101, hclog.Info, "request ended")
 	SlowClientsClosed        = declare(2103, hclog.Info, "connections closed: request headers incomplete after the time limit")
--- a/internal/state/instance/settings.go
+++ b/internal/state/instance/settings.go
@@ -35,10 +35,25 @@
 	MemoryMB int
 	// MaxOpenFiles is the maximum number of open file descriptors.
 	MaxOpenFiles int
+	// Start tells whether the whole system starts for the first time.
+	Start Start
 	// Bounds are the limits that apply to the whole deployment.
 	Bounds Bounds
 }
 
+// Start is what the platform says of a start of the system.
+type Start int
+
+// The starts of a system.
+const (
+	// UnknownStart is a start of which the platform says nothing.
+	UnknownStart Start = iota
+	// FirstStart is the first start of the whole system.
+	FirstStart
+	// LaterStart is a start of a system that has run before.
+	LaterStart
+)
+
 // Bounds are the time limits, rates and ratios that a deployment sets for all
 // instances.
 type Bounds struct {
--- a/internal/transport/follower/follower.go
+++ b/internal/transport/follower/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	"bluebellcrank/internal/coordination/balance"
 	"bluebellcrank/internal/state/event"
 	"bluebellcrank/internal/state/fleet"
+	"bluebellcrank/internal/state/instance"
 	"bluebellcrank/internal/state/routing"
 	"bluebellcrank/internal/transport/process"
 	"bluebellcrank/platform"
@@ -93,21 +95,30 @@
 	// set after the first.
 	generation int64
 	hasRead    bool
+	// start is what the platform says of the start of this process.
+	start instance.Start
+	// askedFrom is the boot time of the read since which other entries are asked, and
 	// askUntil is the boot time until which nothing is confirmed before other entries have
 	// told the newest version; 0 once they have.
-	askUntil time.Duration
+	askedFrom, askUntil time.Duration
 	// askPause is the pause before the next question, which doubles up to askInterval.
 	askPause time.Duration
-	// isStarting is set while others are asked at the start, and isOutOfTouch while they are
-	// asked because the store was restored after the latest confirmation had ended.
+	// isStarting is set while others are asked before the first confirmation, and isOutOfTouch
+	// while they are asked because the store was restored after the latest one had ended.
 	isStarting   bool
 	isOutOfTouch atomic.Bool
+	// isWritten is set once the operator has written while this entry watched, so that the
+	// store has what the operator wrote last.
+	isWritten bool
 	// mayHaveMissed is set if the store may have been written since the latest confirmation
 	// without a word to this entry.
 	mayHaveMissed bool
 	// vouchesFrom is the boot time from which others may believe the confirmations here. One
 	// that has just started may have followed a copy.
-	vouchesFrom       atomic.Int64
+	vouchesFrom atomic.Int64
+	// confirmedIn is the generation of the store in which the configuration was confirmed, or
+	// noGeneration.
+	confirmedIn       atomic.Int64
 	targetsListed     atomic.Bool
 	evacuationsListed atomic.Bool
 	isUnreachable     atomic.Bool
@@ -132,14 +143,17 @@
 	ConfirmationLifetime time.Duration
 }
 
-// New starts to follow a store. It calls limits for the limits currently in
-// force.
-func New(s *platform.Store, sink Sink, limits func() Limits, log hclog.Logger) *Follower {
+// New starts to follow a store after a start of this process. It calls limits for the limits
+// currently in force.
+func New(s *platform.Store, start instance.Start, sink Sink, limits func() Limits, log hclog.Logger) *Follower {
 	ctx, stop := context.WithCancel(context.Background())
-	f := &Follower{store: s, sink: sink, limits: limits, log: log, stop: stop}
+	f := &Follower{store: s, start: start, sink: sink, limits: limits, log: log, stop: stop}
 	f.confirmedAt.Store(int64(-time.Hour))
+	f.vouchesFrom.Store(math.MaxInt64)
+	f.confirmedIn.Store(noGeneration)
 	f.watchScope.Store(newScope(ctx))
 	f.running.Go(func() { f.repeat(ctx, f.followConfig, f.longestConfigDelay) })
+	f.running.Go(func() { f.recordConfirmations(ctx) })
 	for _, follow := range []func(context.Context) error{f.followTargets, f.followEvacuations} {
 		f.running.Go(func() {
 			f.repeat(ctx, func(ctx context.Context) error { return f.followInScope(ctx, follow) }, func() time.Duration { return maxRetryDelay })
@@ -308,8 +322,8 @@
 		position, complete = read.Position, complete || read.Table != nil
 		f.applyConfig(read, "watch", requestedAt)
 		if read.Table != nil && !f.isLost() {
-			f.isStarting = false
-			f.isOutOfTouch.Store(false) // the operator has written since the restore
+			f.isWritten = true
+			f.isOutOfTouch.Store(false)
 		}
 		if complete {
 			f.seen = position
@@ -365,6 +379,7 @@
 		return
 	}
 	f.confirmedAt.Store(max(f.confirmedAt.Load(), int64(at)))
+	f.confirmedIn.Store(f.generation)
 	f.mayHaveMissed = false
 }
 
--- a/internal/transport/follower/history_test.go
+++ b/internal/transport/follower/history_test.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"bluebellcrank/internal/state/fleet"
+	"bluebellcrank/internal/state/instance"
 	"bluebellcrank/platform"
 )
 
@@ -38,7 +39,12 @@
 
 // newFollower follows a store, with what other entries tell and the lifetime of confirmations.
 func newFollower(server *httptest.Server, others func(context.Context) (Applied, error), lifetime time.Duration) *Follower {
-	return New(platform.NewStore(strings.TrimPrefix(server.URL, "http://")), Sink{
+	return newStartedFollower(server, instance.UnknownStart, others, lifetime)
+}
+
+// newStartedFollower is newFollower after a start of which the platform says something.
+func newStartedFollower(server *httptest.Server, start instance.Start, others func(context.Context) (Applied, error), lifetime time.Duration) *Follower {
+	return New(platform.NewStore(strings.TrimPrefix(server.URL, "http://")), start, Sink{
 		ReplaceTargets: func([]fleet.Target, time.Time) {}, ApplyChanges: func([]fleet.Change, time.Time) {},
 		SetOutOfService: func(map[string]bool, time.Time) {}, MergeTargets: func([]fleet.Target, time.Time) {},
 		MergeOutOfService: func(map[string]bool, time.Time) {},
--- a/internal/transport/follower/restored.go
+++ b/internal/transport/follower/restored.go
@@ -7,6 +7,7 @@
 
 	"bluebellcrank/internal/coordination/balance"
 	"bluebellcrank/internal/state/event"
+	"bluebellcrank/internal/state/instance"
 	"bluebellcrank/internal/transport/process"
 	"bluebellcrank/platform"
 )
@@ -30,7 +31,8 @@
 
 // recordGeneration records that a list of the configuration comes from the start of this
 // process, or is the first since the store was restored. The store may then have lost a version
-// that removed keys, so that the other entries are asked for the newest one.
+// that removed keys, so that the other entries are asked for the newest one. An entry without any
+// confirmation yet counts as one that starts.
 func (f *Follower) recordGeneration(c platform.ConfigRead, now time.Duration) {
 	generation := c.Position.Generation()
 	if f.hasRead && f.generation == generation {
@@ -38,11 +40,14 @@
 	}
 	if f.hasRead {
 		event.StoreRestored.Log(f.log, "generation", generation, "before", f.generation)
+		f.start = instance.LaterStart // a missing record no longer means that there was none
 	}
-	f.isStarting = !f.hasRead
+	f.isStarting = f.confirmedAt.Load() < 0
 	f.isOutOfTouch.Store(f.hasRead && f.mayHaveMissed && !f.isConfirmed(now) && !f.isWrittenAgain(c))
 	f.generation, f.hasRead = generation, true
-	f.storedVersion, f.askUntil, f.askPause = 0, now+balance.ExpiryPeriod, minConfigWait
+	f.isWritten = false
+	f.confirmedIn.Store(noGeneration)
+	f.storedVersion, f.askedFrom, f.askUntil, f.askPause = 0, now, now+balance.ExpiryPeriod, minConfigWait
 	if f.isStarting {
 		f.vouchesFrom.Store(int64(f.askUntil))
 	}
@@ -72,33 +77,71 @@
 	if f.askUntil == 0 {
 		return true
 	}
+	record := unreadRecord
+	if f.isStarting || f.isOutOfTouch.Load() {
+		record = f.readRecord(ctx)
+	}
 	others, err := f.sink.Applied(ctx)
 	f.knownVersion.Store(max(f.knownVersion.Load(), others.Version))
-	if !f.isNewestKnown(others, err) && process.BootTime() < f.askUntil {
-		cause := "no other entry has been in touch with the store"
-		if err != nil {
-			cause = err.Error()
+	now := process.BootTime()
+	source := f.source(record, others, err)
+	if source == unknownSource {
+		if now < f.askUntil {
+			event.AppliedVersionUnknown.Log(f.log, "error", unknownCause(err), "record", record.String())
+			f.askPause = min(2*f.askPause, askInterval)
+			return false
 		}
-		event.AppliedVersionUnknown.Log(f.log, "error", cause)
-		f.askPause = min(2*f.askPause, askInterval)
-		return false
+		source = waitedSource
+	}
+	if source == firstStartSource && f.start == instance.FirstStart || source == recordSource {
+		f.vouchesFrom.Store(int64(now))
 	}
+	event.ConfigTrusted.Log(f.log, "generation", f.generation, "version", f.storedVersion, "source", string(source), "record", record.String(), "asked-ms", (now - f.askedFrom).Milliseconds())
 	f.askUntil, f.isStarting = 0, false
 	f.isOutOfTouch.Store(false)
 	return true
 }
 
-// isNewestKnown reports whether this entry or one of the others has read all versions that the
-// store may have lost. An entry that starts beside others that start, too, believes them.
-func (f *Follower) isNewestKnown(others Applied, err error) bool {
+// source is what shows that this entry knows each version that the store may have lost.
+type source string
+
+const (
+	unknownSource    source = ""
+	entrySource      source = "another entry"
+	recordSource     source = "record in the store"
+	firstStartSource source = "first start"
+	operatorSource   source = "operator's write"
+	inTouchSource    source = "this entry"
+	waitedSource     source = "none, the operator has had time to write"
+)
+
+// source returns what shows that the newest version is known: this entry or one of the others
+// has read all versions that the store may have lost, or the store has lost none.
+func (f *Follower) source(record recordState, others Applied, err error) source {
 	switch {
+	case record == recordedNow:
+		return recordSource
 	case others.IsConfirmed:
-		return true
+		return entrySource
+	case f.isWritten:
+		return operatorSource
 	case f.isOutOfTouch.Load() || err != nil:
-		return false
+		return unknownSource
+	case !f.isStarting:
+		return inTouchSource
+	case record == notRecorded && f.start != instance.LaterStart && !others.IsWithheld:
+		return firstStartSource
 	default:
-		return !f.isStarting || !others.IsWithheld
+		return unknownSource
+	}
+}
+
+// unknownCause returns why the other entries have not told the newest version.
+func unknownCause(err error) string {
+	if err != nil {
+		return err.Error()
 	}
+	return "no other entry has been in touch with the store"
 }
 
 // listTimes tells which list is the first one of a restored store, and when the lists after
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -195,7 +195,7 @@
 	g.bounds.Store(&settings.Bounds)
 	g.setEntries(nil, initialEntryCount)
 	g.pool = upstream.NewPool(g.metrics.connectionsOpened.Inc)
-	g.follower = follower.New(g.store, follower.Sink{
+	g.follower = follower.New(g.store, settings.Start, follower.Sink{
 		ReplaceTargets:    g.fleet.Replace,
 		ApplyChanges:      g.fleet.ApplyChanges,
 		SetOutOfService:   g.fleet.SetDataCentresOut,
