A list that the store has changed since is not taken for complete

Cause: while the store does not answer an entry directly, a watch goes over two paths, and waits for the last of them to end. The store had swallowed the direct one, the relay of the other one died, and the wait of the direct one was 15.7 s. Nothing told the entry that the list stood still: the configuration is watched apart, and was confirmed. Class: a list counted as complete for as long as its watch was silent, on one path as on two.

Change: a watch of targets or data centres waits for 2 s at the most until the latest direct call was answered. Each answer to the configuration tells the store's revision; a list that was read up to that one is proven as of then, and one that was not is checked by one call beside its watch, which is ended if it has missed a change. A list that is not proven within the stability window and its check age is listed again, and logged (events 1226 to 1228, bluebellcrank_list_age_seconds).

--- a/internal/coordination/membership/relay.go
+++ b/internal/coordination/membership/relay.go
@@ -93,6 +93,14 @@
 	return changed
 }
 
+// IsAnswered reports whether the latest direct call that has ended got a response. Those that are
+// cancelled because a relayed read was faster tell nothing.
+func (r *RelaySelector) IsAnswered() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.directFailed
+}
+
 // IsDirect reports whether reads go directly to the store, so that this instance
 // can relay the reads of its peers.
 func (r *RelaySelector) IsDirect(now time.Time) bool {
--- a/internal/transport/follower/follower.go
+++ b/internal/transport/follower/follower.go
@@ -122,8 +122,8 @@
 	targetsListed     atomic.Bool
 	evacuationsListed atomic.Bool
 	isUnreachable     atomic.Bool
-	// targetLists and evacuationLists are each used by the goroutine of that list.
-	targetLists, evacuationLists listTimes
+	// targets and evacuations are the watched lists of targets and of data centres.
+	targets, evacuations *watchedList
 
 	// watchScope holds the context of the watches of targets and data centres.
 	// It is cancelled and replaced when a configuration watch fails, since the
@@ -141,6 +141,9 @@
 	// ConfirmationLifetime is how long keys are served after the store
 	// confirmed that the configuration is current.
 	ConfirmationLifetime time.Duration
+	// StabilityWindow is how long after a fault the entry may still act on what it knew
+	// before.
+	StabilityWindow time.Duration
 }
 
 // New starts to follow a store after a start of this process. It calls limits for the limits
@@ -152,6 +155,21 @@
 	f.vouchesFrom.Store(math.MaxInt64)
 	f.confirmedIn.Store(noGeneration)
 	f.watchScope.Store(newScope(ctx))
+	now := process.BootTime()
+	f.targets = newWatchedList("targets", targetCheckAge, func(ctx context.Context, from platform.Position) (bool, platform.Position, error) {
+		changes, _, next, err := s.WatchTargets(ctx, from, checkWait)
+		return len(changes) > 0, next, err
+	}, log, now)
+	f.evacuations = newWatchedList("data-centres", evacuationCheckAge, func(ctx context.Context, from platform.Position) (bool, platform.Position, error) {
+		changes, next, err := s.WatchEvacuations(ctx, from, checkWait)
+		return len(changes) > 0, next, err
+	}, log, now)
+	for _, l := range f.lists() {
+		f.running.Go(func() { l.runChecks(ctx) })
+		f.running.Go(func() {
+			process.Every(listAgeInterval, ctx.Done(), func(time.Time) { l.recordAge(process.BootTime(), f.allowedAge(l)) })
+		})
+	}
 	f.running.Go(func() { f.repeat(ctx, f.followConfig, f.longestConfigDelay) })
 	f.running.Go(func() { f.recordConfirmations(ctx) })
 	for _, follow := range []func(context.Context) error{f.followTargets, f.followEvacuations} {
@@ -193,6 +211,45 @@
 	return boot - time.Duration(f.confirmedAt.Load())
 }
 
+// lists returns the lists that are watched.
+func (f *Follower) lists() []*watchedList { return []*watchedList{f.targets, f.evacuations} }
+
+// allowedAge returns the age from which a list counts as unknown.
+func (f *Follower) allowedAge(l *watchedList) time.Duration {
+	return f.limits().StabilityWindow + l.checkAge
+}
+
+// ListAges returns, by the names of the lists, the time for which each has not been known to be
+// complete at a boot time.
+func (f *Follower) ListAges(boot time.Duration) map[string]time.Duration {
+	out := map[string]time.Duration{}
+	for _, l := range f.lists() {
+		out[l.name] = l.age(boot)
+	}
+	return out
+}
+
+// recordState has the lists compared with a state of the store that the configuration was read
+// at, as of a boot time.
+func (f *Follower) recordState(state platform.Position, at time.Duration) {
+	now := process.BootTime()
+	for _, l := range f.lists() {
+		if l.recordState(state, at, now, f.allowedAge(l)) {
+			l.requestCheck(state)
+		}
+	}
+}
+
+// listWait returns how long a watch of a list may wait if the next list is due after a time. While
+// the store does not answer this instance directly, a watch may have been lost on one path and
+// depend on the other one, so that it ends soon.
+func (f *Follower) listWait(untilNext time.Duration) time.Duration {
+	if f.store.IsDirect() {
+		return untilNext
+	}
+	return min(untilNext, maxConfigWait)
+}
+
 // HasSynced reports whether the configuration, the targets and the data centres
 // were each read at least once.
 func (f *Follower) HasSynced() bool {
@@ -293,6 +350,7 @@
 		return err
 	}
 	f.recordGeneration(read, requestedAt)
+	f.recordState(read.Position, requestedAt)
 	f.applyConfig(read, "list", requestedAt)
 	position, complete := read.Position, len(read.Invalid) == 0
 	if complete {
@@ -320,6 +378,9 @@
 		}
 		failures = 0
 		position, complete = read.Position, complete || read.Table != nil
+		changed := read.Table != nil || len(read.Invalid) > 0
+		at := confirmationTime(requestedAt, process.BootTime(), wait, changed)
+		f.recordState(position, at)
 		f.applyConfig(read, "watch", requestedAt)
 		if read.Table != nil && !f.isLost() {
 			f.isWritten = true
@@ -327,8 +388,7 @@
 		}
 		if complete {
 			f.seen = position
-			changed := read.Table != nil || len(read.Invalid) > 0
-			f.confirm(ctx, confirmationTime(requestedAt, process.BootTime(), wait, changed))
+			f.confirm(ctx, at)
 		}
 	}
 }
@@ -428,27 +488,38 @@
 
 // followTargets lists the targets and applies their changes until a call fails.
 func (f *Follower) followTargets(ctx context.Context) error {
+	l := f.targets
+	call := l.begin(process.BootTime())
 	list, faults, position, err := f.store.Targets(ctx)
 	if err != nil {
 		return err
 	}
+	l.recordAnswer(call, position, call.requestedAt)
 	f.logInvalid(faults)
-	if now := time.Now(); f.targetLists.record(position.Generation(), now) {
+	if now := time.Now(); l.times.record(position.Generation(), now) {
 		f.sink.MergeTargets(list, now)
 	} else {
 		f.sink.ReplaceTargets(list, now)
 	}
 	f.targetsListed.Store(true)
 	for {
-		wait := f.targetLists.untilNext(time.Now(), balance.RewritePeriod, balance.ExpiryPeriod)
+		wait := f.listWait(l.times.untilNext(time.Now(), balance.RewritePeriod, balance.ExpiryPeriod))
 		if wait == 0 {
 			return nil
 		}
-		changes, faults, next, err := f.store.WatchTargets(ctx, position, wait)
+		call := l.begin(process.BootTime())
+		watch, end := l.watch(ctx)
+		changes, faults, next, err := f.store.WatchTargets(watch, position, wait)
+		cause := context.Cause(watch)
+		end()
+		if errors.Is(cause, errMissedChange) {
+			continue
+		}
 		if err != nil {
 			return err
 		}
 		position = next
+		l.recordAnswer(call, position, confirmationTime(call.requestedAt, process.BootTime(), wait, len(changes)+len(faults) > 0))
 		f.logInvalid(faults)
 		f.recordReachable()
 		if len(changes) > 0 {
@@ -468,27 +539,38 @@
 // followEvacuations lists the data centres that are out of service and applies
 // changes until a call fails.
 func (f *Follower) followEvacuations(ctx context.Context) error {
+	l := f.evacuations
+	call := l.begin(process.BootTime())
 	out, position, err := f.store.Evacuations(ctx)
 	if err != nil {
 		return err
 	}
+	l.recordAnswer(call, position, call.requestedAt)
 	now, apply := time.Now(), f.sink.SetOutOfService
-	if f.evacuationLists.record(position.Generation(), now) {
+	if l.times.record(position.Generation(), now) {
 		apply = f.sink.MergeOutOfService
 	}
 	f.logEvacuations(out)
 	apply(out, now)
 	f.evacuationsListed.Store(true)
 	for {
-		wait := f.evacuationLists.untilNext(time.Now(), balance.ExpiryPeriod)
+		wait := f.listWait(l.times.untilNext(time.Now(), balance.ExpiryPeriod))
 		if wait == 0 {
 			return nil
 		}
-		changes, next, err := f.store.WatchEvacuations(ctx, position, wait)
+		call := l.begin(process.BootTime())
+		watch, end := l.watch(ctx)
+		changes, next, err := f.store.WatchEvacuations(watch, position, wait)
+		cause := context.Cause(watch)
+		end()
+		if errors.Is(cause, errMissedChange) {
+			continue
+		}
 		if err != nil {
 			return err
 		}
 		position = next
+		l.recordAnswer(call, position, confirmationTime(call.requestedAt, process.BootTime(), wait, len(changes) > 0))
 		if len(changes) == 0 {
 			continue
 		}
--- a/internal/transport/follower/history_test.go
+++ b/internal/transport/follower/history_test.go
@@ -49,5 +49,7 @@
 		SetOutOfService: func(map[string]bool, time.Time) {}, MergeTargets: func([]fleet.Target, time.Time) {},
 		MergeOutOfService: func(map[string]bool, time.Time) {},
 		Applied:           others,
-	}, func() Limits { return Limits{DrainPeriod: time.Second, ConfirmationLifetime: lifetime} }, hclog.NewNullLogger())
+	}, func() Limits {
+		return Limits{DrainPeriod: time.Second, ConfirmationLifetime: lifetime, StabilityWindow: 3 * time.Second}
+	}, hclog.NewNullLogger())
 }
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -165,17 +166,12 @@
 	ctx, stop := context.WithCancel(context.Background())
 	metricSet := metrics.NewSet()
 	readRoutes := membership.NewRelaySelector(newRand())
-	recordRead := func(path string, answered bool, now time.Time) {
-		if readRoutes.RecordCall(path, answered, now) {
-			event.StoreReadsRelayed.Log(log, "straight", answered)
-		}
-	}
 	g := &Gateway{
 		settings:       settings,
 		options:        options,
 		log:            log,
 		readRoutes:     readRoutes,
-		store:          platform.NewRelayedStore(settings.StoreAddress, platform.ReadPaths{Choose: readRoutes.Relays, RecordCall: recordRead}),
+		store:          newStore(settings.StoreAddress, readRoutes, log),
 		fleet:          balance.NewFleet(newRand()),
 		metrics:        newEntryMetrics(metricSet, options.DroppedLogLines),
 		clients:        newClientConns(),
@@ -203,6 +199,7 @@
 		MergeOutOfService: g.fleet.MergeDataCentresOut,
 		Applied:           g.applied,
 	}, g.limits, log)
+	g.addAgeMetrics(metricSet)
 	listeners = g.guardListeners(listeners)
 	g.ready = g.newServer(g.serveReady, maxInternalHeaderBytes)
 	g.relay = g.newServer(g.entriesHandler().ServeHTTP, maxInternalHeaderBytes)
@@ -241,6 +238,31 @@
 	g.hedges = newHedges(g.options.HedgeShare, g.fleet, set)
 }
 
+// newStore returns a client of the store whose reads may be relayed by other entries.
+func newStore(address string, routes *membership.RelaySelector, log hclog.Logger) *platform.Store {
+	return platform.NewRelayedStore(address, platform.ReadPaths{
+		Choose: routes.Relays,
+		RecordCall: func(path string, answered bool, now time.Time) {
+			if routes.RecordCall(path, answered, now) {
+				event.StoreReadsRelayed.Log(log, "straight", answered)
+			}
+		},
+		IsAnswered: routes.IsAnswered,
+	})
+}
+
+// addAgeMetrics adds the ages of what this entry follows.
+func (g *Gateway) addAgeMetrics(set *metrics.Set) {
+	set.NewGauge(`bluebellcrank_list_age_seconds{list="configuration"}`, func() float64 {
+		return g.follower.ConfirmationAge(process.BootTime()).Seconds()
+	})
+	for name := range g.follower.ListAges(process.BootTime()) {
+		set.NewGauge(fmt.Sprintf("bluebellcrank_list_age_seconds{list=%q}", name), func() float64 {
+			return g.follower.ListAges(process.BootTime())[name].Seconds()
+		})
+	}
+}
+
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // serveListener serves a listener until the server is closed.
@@ -321,7 +343,11 @@
 // limits returns the follower's limits under the settings in force.
 func (g *Gateway) limits() follower.Limits {
 	b := g.bounds.Load()
-	return follower.Limits{DrainPeriod: b.DrainPeriod, ConfirmationLifetime: b.RevocationTimeout - min(confirmationMargin, b.RevocationTimeout/2)}
+	return follower.Limits{
+		DrainPeriod:          b.DrainPeriod,
+		ConfirmationLifetime: b.RevocationTimeout - min(confirmationMargin, b.RevocationTimeout/2),
+		StabilityWindow:      b.StabilityWindow,
+	}
 }
 
 // isReady reports whether the entry accepts clients: it is not draining, it has
