--- a/cmd/standin/relay.go
+++ b/cmd/standin/relay.go
@@ -28,6 +28,8 @@
 	// the owner of the listener sets it.
 	listenAddress string
 	isGarbling    atomic.Bool
+	// isSwallowing is set while new connections carry nothing, for as long as they are open.
+	isSwallowing atomic.Bool
 	// delay is the time in nanoseconds by which the bytes of each read are delayed.
 	delay atomic.Int64
 	mu    sync.Mutex
@@ -130,6 +132,8 @@
 		return
 	}
 	pair := &relayedConn{}
+	pair.dropsToServer.Store(r.isSwallowing.Load())
+	pair.dropsFromServer.Store(r.isSwallowing.Load())
 	r.mu.Lock()
 	r.conns[client], r.conns[server] = pair, pair
 	r.mu.Unlock()
