Lists of the follower in a file of their own

The watches of the two lists share one function, the metrics and the client of the store have moved beside their kind, and check takes the time. The operator's write lets an entry vouch at once, as a record does: it was recorded up to 4 s later.

--- a/internal/transport/follower/follower.go
+++ b/internal/transport/follower/follower.go
@@ -10,7 +10,6 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"bluebellcrank/internal/coordination/balance"
 	"bluebellcrank/internal/state/event"
 	"bluebellcrank/internal/state/fleet"
 	"bluebellcrank/internal/state/instance"
@@ -34,14 +33,6 @@
 	// minConfigWait is the shortest wait of a configuration watch. It limits
 	// how often short watches follow each other.
 	minConfigWait = 200 * time.Millisecond
-	// listWatchWait is how long the watches of targets and data centres wait.
-	// TCP keep-alive probes detect a dead connection, and an unresponsive store
-	// makes the configuration watch fail, which restarts the other watches.
-	listWatchWait = 15 * time.Second
-	// batchingShare is the fraction of Limits.DrainPeriod to wait after a
-	// change of targets before the next watch, so that changes close together
-	// are fetched in one call.
-	batchingShare = 0.4
 	// minRetryDelay is the delay after a failed call. It doubles up to
 	// maxRetryDelay, since the platform charges for refused calls as well.
 	minRetryDelay = 150 * time.Millisecond
@@ -155,15 +146,7 @@
 	f.vouchesFrom.Store(math.MaxInt64)
 	f.confirmedIn.Store(noGeneration)
 	f.watchScope.Store(newScope(ctx))
-	now := process.BootTime()
-	f.targets = newWatchedList("targets", targetCheckAge, func(ctx context.Context, from platform.Position) (bool, platform.Position, error) {
-		changes, _, next, err := s.WatchTargets(ctx, from, checkWait)
-		return len(changes) > 0, next, err
-	}, log, now)
-	f.evacuations = newWatchedList("data-centres", evacuationCheckAge, func(ctx context.Context, from platform.Position) (bool, platform.Position, error) {
-		changes, next, err := s.WatchEvacuations(ctx, from, checkWait)
-		return len(changes) > 0, next, err
-	}, log, now)
+	f.targets, f.evacuations = newLists(s, log, process.BootTime())
 	for _, l := range f.lists() {
 		f.running.Go(func() { l.runChecks(ctx) })
 		f.running.Go(func() {
@@ -211,45 +194,6 @@
 	return boot - time.Duration(f.confirmedAt.Load())
 }
 
-// lists returns the lists that are watched.
-func (f *Follower) lists() []*watchedList { return []*watchedList{f.targets, f.evacuations} }
-
-// allowedAge returns the age from which a list counts as unknown.
-func (f *Follower) allowedAge(l *watchedList) time.Duration {
-	return f.limits().StabilityWindow + l.checkAge
-}
-
-// ListAges returns, by the names of the lists, the time for which each has not been known to be
-// complete at a boot time.
-func (f *Follower) ListAges(boot time.Duration) map[string]time.Duration {
-	out := map[string]time.Duration{}
-	for _, l := range f.lists() {
-		out[l.name] = l.age(boot)
-	}
-	return out
-}
-
-// recordState has the lists compared with a state of the store that the configuration was read
-// at, as of a boot time.
-func (f *Follower) recordState(state platform.Position, at time.Duration) {
-	now := process.BootTime()
-	for _, l := range f.lists() {
-		if l.recordState(state, at, now, f.allowedAge(l)) {
-			l.requestCheck(state)
-		}
-	}
-}
-
-// listWait returns how long a watch of a list may wait if the next list is due after a time. While
-// the store does not answer this instance directly, a watch may have been lost on one path and
-// depend on the other one, so that it ends soon.
-func (f *Follower) listWait(untilNext time.Duration) time.Duration {
-	if f.store.IsDirect() {
-		return untilNext
-	}
-	return min(untilNext, maxConfigWait)
-}
-
 // HasSynced reports whether the configuration, the targets and the data centres
 // were each read at least once.
 func (f *Follower) HasSynced() bool {
@@ -485,110 +429,3 @@
 	event.ConfigAdopted.Log(f.log, "version", t.Version(), "read", read, "read-ms", (now - requestedAt).Milliseconds(),
 		"proof-age-ms", f.ConfirmationAge(now).Milliseconds())
 }
-
-// followTargets lists the targets and applies their changes until a call fails.
-func (f *Follower) followTargets(ctx context.Context) error {
-	l := f.targets
-	call := l.begin(process.BootTime())
-	list, faults, position, err := f.store.Targets(ctx)
-	if err != nil {
-		return err
-	}
-	l.recordAnswer(call, position, call.requestedAt)
-	f.logInvalid(faults)
-	if now := time.Now(); l.times.record(position.Generation(), now) {
-		f.sink.MergeTargets(list, now)
-	} else {
-		f.sink.ReplaceTargets(list, now)
-	}
-	f.targetsListed.Store(true)
-	for {
-		wait := f.listWait(l.times.untilNext(time.Now(), balance.RewritePeriod, balance.ExpiryPeriod))
-		if wait == 0 {
-			return nil
-		}
-		call := l.begin(process.BootTime())
-		watch, end := l.watch(ctx)
-		changes, faults, next, err := f.store.WatchTargets(watch, position, wait)
-		cause := context.Cause(watch)
-		end()
-		if errors.Is(cause, errMissedChange) {
-			continue
-		}
-		if err != nil {
-			return err
-		}
-		position = next
-		l.recordAnswer(call, position, confirmationTime(call.requestedAt, process.BootTime(), wait, len(changes)+len(faults) > 0))
-		f.logInvalid(faults)
-		f.recordReachable()
-		if len(changes) > 0 {
-			f.sink.ApplyChanges(changes, time.Now())
-			time.Sleep(time.Duration(batchingShare * float64(f.limits().DrainPeriod)))
-		}
-	}
-}
-
-// logInvalid logs the entries that are not valid targets.
-func (f *Follower) logInvalid(faults []error) {
-	for _, err := range faults {
-		event.TargetInvalid.Log(f.log, "error", err.Error())
-	}
-}
-
-// followEvacuations lists the data centres that are out of service and applies
-// changes until a call fails.
-func (f *Follower) followEvacuations(ctx context.Context) error {
-	l := f.evacuations
-	call := l.begin(process.BootTime())
-	out, position, err := f.store.Evacuations(ctx)
-	if err != nil {
-		return err
-	}
-	l.recordAnswer(call, position, call.requestedAt)
-	now, apply := time.Now(), f.sink.SetOutOfService
-	if l.times.record(position.Generation(), now) {
-		apply = f.sink.MergeOutOfService
-	}
-	f.logEvacuations(out)
-	apply(out, now)
-	f.evacuationsListed.Store(true)
-	for {
-		wait := f.listWait(l.times.untilNext(time.Now(), balance.ExpiryPeriod))
-		if wait == 0 {
-			return nil
-		}
-		call := l.begin(process.BootTime())
-		watch, end := l.watch(ctx)
-		changes, next, err := f.store.WatchEvacuations(watch, position, wait)
-		cause := context.Cause(watch)
-		end()
-		if errors.Is(cause, errMissedChange) {
-			continue
-		}
-		if err != nil {
-			return err
-		}
-		position = next
-		l.recordAnswer(call, position, confirmationTime(call.requestedAt, process.BootTime(), wait, len(changes) > 0))
-		if len(changes) == 0 {
-			continue
-		}
-		merged := map[string]bool{}
-		for name, isOut := range out {
-			merged[name] = isOut
-		}
-		for name, isOut := range changes {
-			merged[name] = isOut
-		}
-		out = merged
-		f.logEvacuations(out)
-		f.sink.SetOutOfService(out, time.Now())
-	}
-}
-
-func (f *Follower) logEvacuations(out map[string]bool) {
-	for name, isOut := range out {
-		event.DataCentreServiceChanged.Log(f.log, "data-centre", name, "out", isOut)
-	}
-}
--- a/internal/transport/follower/restored.go
+++ b/internal/transport/follower/restored.go
@@ -93,8 +93,8 @@
 		}
 		source = waitedSource
 	}
-	if source == firstStartSource && f.start == instance.FirstStart || source == recordSource {
-		f.vouchesFrom.Store(int64(now))
+	if source == recordSource || source == operatorSource || source == firstStartSource && f.start == instance.FirstStart {
+		f.vouchesFrom.Store(int64(min(now, time.Duration(f.vouchesFrom.Load()))))
 	}
 	event.ConfigTrusted.Log(f.log, "generation", f.generation, "version", f.storedVersion, "source", string(source), "record", record.String(), "asked-ms", (now - f.askedFrom).Milliseconds())
 	f.askUntil, f.isStarting = 0, false
--- a/internal/transport/follower/watchedlist.go
+++ b/internal/transport/follower/watchedlist.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -99,6 +100,20 @@
 	}
 }
 
+// await makes a watch that waits for changes, records the answer, and returns the next position.
+// It returns errMissedChange or errListUnknown if the watch was ended for that.
+func (l *watchedList) await(ctx context.Context, wait time.Duration, watch func(context.Context) (hasChanges bool, next platform.Position, err error)) (platform.Position, error) {
+	call := l.begin(process.BootTime())
+	ctx, end := l.watch(ctx)
+	defer end()
+	hasChanges, next, err := watch(ctx)
+	if err != nil {
+		return platform.Position{}, cmp.Or(context.Cause(ctx), err)
+	}
+	l.recordAnswer(call, next, confirmationTime(call.requestedAt, process.BootTime(), wait, hasChanges))
+	return next, nil
+}
+
 // recordAnswer records the answer to a call, which leaves the list complete at a boot time, and the
 // position from which it is watched next.
 func (l *watchedList) recordAnswer(c listCall, next platform.Position, at time.Duration) {
@@ -139,12 +154,12 @@
 	return state.IsAfter(l.complete) && age >= l.checkAge
 }
 
-// check reads the changes that the store has, beside the watch that waits for them, and ends the
-// watch if it has not brought them.
-func (l *watchedList) check(ctx context.Context, state platform.Position) {
+// check reads the changes that the store has at a boot time, beside the watch that waits for them,
+// and ends the watch if it has not brought them.
+func (l *watchedList) check(ctx context.Context, state platform.Position, now time.Duration) {
 	l.mu.Lock()
 	isDue := !l.isChecking && l.cancelWatch != nil && state.IsAfter(l.complete)
-	from, c := l.position, listCall{requestedAt: process.BootTime(), newest: l.newest}
+	from, c := l.position, listCall{requestedAt: now, newest: l.newest}
 	l.isChecking = l.isChecking || isDue
 	l.mu.Unlock()
 	if !isDue {
@@ -200,7 +215,7 @@
 		select {
 		case state := <-l.states:
 			time.Sleep(checkDelay)
-			l.check(ctx, state)
+			l.check(ctx, state, process.BootTime())
 		case <-ctx.Done():
 			return
 		}
--- a/internal/transport/gateway/entries.go
+++ b/internal/transport/gateway/entries.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/samber/lo"
 
 	"bluebellcrank/internal/coordination/membership"
@@ -35,6 +36,19 @@
 	entryConnectTimeout = time.Second
 )
 
+// newStore returns a client of the store whose reads may be relayed by other entries.
+func newStore(address string, routes *membership.RelaySelector, log hclog.Logger) *platform.Store {
+	return platform.NewRelayedStore(address, platform.ReadPaths{
+		Choose: routes.Relays,
+		RecordCall: func(path string, answered bool, now time.Time) {
+			if routes.RecordCall(path, answered, now) {
+				event.StoreReadsRelayed.Log(log, "straight", answered)
+			}
+		},
+		IsAnswered: routes.IsAnswered,
+	})
+}
+
 // maintainEntries registers this entry, tracks the entries that share the common
 // budgets, and removes entries that no longer run from the list. It reads the list
 // before it registers: after a restart the list still has the other entries.
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -238,31 +237,6 @@
 	g.hedges = newHedges(g.options.HedgeShare, g.fleet, set)
 }
 
-// newStore returns a client of the store whose reads may be relayed by other entries.
-func newStore(address string, routes *membership.RelaySelector, log hclog.Logger) *platform.Store {
-	return platform.NewRelayedStore(address, platform.ReadPaths{
-		Choose: routes.Relays,
-		RecordCall: func(path string, answered bool, now time.Time) {
-			if routes.RecordCall(path, answered, now) {
-				event.StoreReadsRelayed.Log(log, "straight", answered)
-			}
-		},
-		IsAnswered: routes.IsAnswered,
-	})
-}
-
-// addAgeMetrics adds the ages of what this entry follows.
-func (g *Gateway) addAgeMetrics(set *metrics.Set) {
-	set.NewGauge(`bluebellcrank_list_age_seconds{list="configuration"}`, func() float64 {
-		return g.follower.ConfirmationAge(process.BootTime()).Seconds()
-	})
-	for name := range g.follower.ListAges(process.BootTime()) {
-		set.NewGauge(fmt.Sprintf("bluebellcrank_list_age_seconds{list=%q}", name), func() float64 {
-			return g.follower.ListAges(process.BootTime())[name].Seconds()
-		})
-	}
-}
-
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // serveListener serves a listener until the server is closed.
--- a/internal/transport/gateway/metrics.go
+++ b/internal/transport/gateway/metrics.go
@@ -4,6 +4,8 @@
 	"fmt"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"bluebellcrank/internal/transport/process"
 )
 
 // entryMetrics are the counters and histograms of an entry.
@@ -62,6 +64,18 @@
 	}
 }
 
+// addAgeMetrics adds the ages of what this entry follows.
+func (g *Gateway) addAgeMetrics(set *metrics.Set) {
+	set.NewGauge(`bluebellcrank_list_age_seconds{list="configuration"}`, func() float64 {
+		return g.follower.ConfirmationAge(process.BootTime()).Seconds()
+	})
+	for name := range g.follower.ListAges(process.BootTime()) {
+		set.NewGauge(fmt.Sprintf("bluebellcrank_list_age_seconds{list=%q}", name), func() float64 {
+			return g.follower.ListAges(process.BootTime())[name].Seconds()
+		})
+	}
+}
+
 // countRequest counts a request by its status and reason.
 func (m *entryMetrics) countRequest(status int, reason string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`bluebellcrank_requests_total{status="%d",reason=%q}`, status, reason)).Inc()
