An entry that was paused does not count as in touch after a restore

What callers saw: with all other entries killed in a drill of the store, an entry that had been paused while a key was removed served it for more than 5 s after its removal.

Cause: the answer that had waited in the socket of the paused entry confirmed the configuration when it was read, and so erased that the entry may have missed a version. The restore was then taken for one of which the entry had heard everything.

Change: an answer that is read more than 1 s after it was due is a sign of a pause; after it, and until the next confirmation in time, an entry that reads a restored store believes only others in touch, the operator's write, or waits 4 s, also while its confirmation is valid.

--- a/cmd/standin/soak_restore_test.go
+++ b/cmd/standin/soak_restore_test.go
@@ -105,3 +105,47 @@
 		})
 	}
 }
+
+// TestPausedEntryVouchesForNothingAfterARestore guards against a removed key that is served because
+// an entry was paused while the key was removed, and the others, which knew of it, were killed in a
+// restore.
+func TestPausedEntryVouchesForNothingAfterARestore(t *testing.T) {
+	const (
+		// removalDelay is longer than a watch of the configuration waits, whose answer would
+		// tell the paused entry of the removal.
+		removalDelay = 2100 * time.Millisecond
+		// rewriteDelay is the time from the restore to the operator's write.
+		rewriteDelay = 3900 * time.Millisecond
+	)
+	for _, pause := range []time.Duration{4 * time.Second, 6 * time.Second} {
+		t.Run(pause.String(), func(t *testing.T) {
+			t.Parallel()
+			s := newSoakRun(t, 1, soakRevocationLimit)
+			time.Sleep(stabilityWindow)
+			copied := s.store.Copy()
+			paused := s.entries[0]
+			paused.signal(syscall.SIGSTOP)
+			time.Sleep(removalDelay)
+			s.removeKey()
+			time.Sleep(pause - removalDelay - 200*time.Millisecond)
+			s.store.SetFailureStatus(http.StatusServiceUnavailable)
+			for _, e := range s.entries[1:] {
+				e.signal(syscall.SIGKILL)
+			}
+			time.Sleep(200 * time.Millisecond)
+			s.store.Restore(copied)
+			s.store.SetFailureStatus(0)
+			restored := time.Now()
+			paused.signal(syscall.SIGCONT)
+			for time.Since(restored) < rewriteDelay {
+				for _, e := range s.entries {
+					s.sendRequest(http.DefaultClient, e.trafficAddress, false, soakRemovedKey)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			s.writeAgain()
+			s.eventually("every entry is ready", s.allReady)
+			s.c.Check(s.findViolations(), qt.HasLen, 0)
+		})
+	}
+}
--- a/internal/transport/follower/follower.go
+++ b/internal/transport/follower/follower.go
@@ -33,6 +33,8 @@
 	// minConfigWait is the shortest wait of a configuration watch. It limits
 	// how often short watches follow each other.
 	minConfigWait = 200 * time.Millisecond
+	// maxAnswerDelay is how long after its wait the answer to a watch may be read.
+	maxAnswerDelay = time.Second
 	// minRetryDelay is the delay after a failed call. It doubles up to
 	// maxRetryDelay, since the platform charges for refused calls as well.
 	minRetryDelay = 150 * time.Millisecond
@@ -104,6 +106,9 @@
 	// mayHaveMissed is set if the store may have been written since the latest confirmation
 	// without a word to this entry.
 	mayHaveMissed bool
+	// wasSuspended is set if the answer of the latest confirmation was read long after it was
+	// due, since this process did not run meanwhile.
+	wasSuspended bool
 	// vouchesFrom is the boot time from which others may believe the confirmations here. One
 	// that has just started may have followed a copy.
 	vouchesFrom atomic.Int64
@@ -299,7 +304,7 @@
 	position, complete := read.Position, len(read.Invalid) == 0
 	if complete {
 		f.seen = position
-		f.confirm(ctx, requestedAt)
+		f.confirm(ctx, requestedAt, false)
 	} else if f.seen.Generation() == position.Generation() && f.seen != (platform.Position{}) {
 		position, complete = f.seen, true
 	}
@@ -322,8 +327,8 @@
 		}
 		failures = 0
 		position, complete = read.Position, complete || read.Table != nil
-		changed := read.Table != nil || len(read.Invalid) > 0
-		at := confirmationTime(requestedAt, process.BootTime(), wait, changed)
+		changed, now := read.Table != nil || len(read.Invalid) > 0, process.BootTime()
+		at := confirmationTime(requestedAt, now, wait, changed)
 		f.recordState(position, at)
 		f.applyConfig(read, "watch", requestedAt)
 		if read.Table != nil && !f.isLost() {
@@ -332,7 +337,7 @@
 		}
 		if complete {
 			f.seen = position
-			f.confirm(ctx, at)
+			f.confirm(ctx, at, now > requestedAt+wait+maxAnswerDelay)
 		}
 	}
 }
@@ -376,15 +381,15 @@
 }
 
 // confirm records that the configuration was current at a boot time, unless the store may have
-// lost a version that was applied.
-func (f *Follower) confirm(ctx context.Context, at time.Duration) {
+// lost a version that was applied, and whether the answer was read long after it was due.
+func (f *Follower) confirm(ctx context.Context, at time.Duration, isLate bool) {
 	f.recordReachable()
 	if !f.askOthers(ctx) || f.isLost() {
 		return
 	}
 	f.confirmedAt.Store(max(f.confirmedAt.Load(), int64(at)))
 	f.confirmedIn.Store(f.generation)
-	f.mayHaveMissed = false
+	f.mayHaveMissed, f.wasSuspended = false, isLate
 }
 
 // logConfigFailure logs a failed read of the configuration, unless the follower is
--- a/internal/transport/follower/restored.go
+++ b/internal/transport/follower/restored.go
@@ -43,7 +43,8 @@
 		f.start = instance.LaterStart // a missing record no longer means that there was none
 	}
 	f.isStarting = f.confirmedAt.Load() < 0
-	f.isOutOfTouch.Store(f.hasRead && f.mayHaveMissed && !f.isConfirmed(now) && !f.isWrittenAgain(c))
+	hasLostTouch := f.wasSuspended || f.mayHaveMissed && !f.isConfirmed(now)
+	f.isOutOfTouch.Store(f.hasRead && hasLostTouch && !f.isWrittenAgain(c))
 	f.generation, f.hasRead = generation, true
 	f.isWritten = false
 	f.confirmedIn.Store(noGeneration)
