A confirmation of before a restore vouches for nothing after it

What callers saw: a removed key was served after a restore by entries that had just started, since another one, paused or cut off meanwhile, still had a valid confirmation and told them so before it had heard of the restore.

Cause: entries told each other that they are confirmed, not in which generation of the store.

Change: the answer names the generation, and is believed in that one only. Entries of the previous version name none, and are believed as before.

TestPausedEntryVouchesForNothingAfterARestore took its copy before the first record of a confirmation, 4 s after a start of which the platform says nothing. Such a copy passes for a first start, a limit that docs/design/restored-store.md states; the test now waits until the record is there, and is as strict otherwise.

--- a/cmd/standin/soak_restore_test.go
+++ b/cmd/standin/soak_restore_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"bluebellcrank/internal/coordination/balance"
 	"bluebellcrank/platform/standin"
 )
 
@@ -121,7 +122,7 @@
 		t.Run(pause.String(), func(t *testing.T) {
 			t.Parallel()
 			s := newSoakRun(t, 1, soakRevocationLimit)
-			time.Sleep(stabilityWindow)
+			time.Sleep(balance.ExpiryPeriod + time.Second) // the copy has the record of a confirmation
 			copied := s.store.Copy()
 			paused := s.entries[0]
 			paused.signal(syscall.SIGSTOP)
--- a/internal/transport/follower/follower.go
+++ b/internal/transport/follower/follower.go
@@ -181,11 +181,16 @@
 // Applied returns what this entry tells others of the configuration at a boot time.
 func (f *Follower) Applied(boot time.Duration) Applied {
 	isConfirmed, wasConfirmed := f.isConfirmed(boot), f.confirmedAt.Load() >= 0
-	return Applied{
+	a := Applied{
 		Version:     f.knownVersion.Load(),
 		IsConfirmed: isConfirmed && boot >= time.Duration(f.vouchesFrom.Load()),
 		IsWithheld:  f.isOutOfTouch.Load() || wasConfirmed && !isConfirmed,
 	}
+	if a.IsConfirmed {
+		generation := f.confirmedIn.Load()
+		a.Generation = &generation
+	}
+	return a
 }
 
 // isConfirmed reports whether keys are served at a boot time.
--- a/internal/transport/follower/record_test.go
+++ b/internal/transport/follower/record_test.go
@@ -130,3 +130,25 @@
 	c.Check(r.isDue(1, now.Add(maxRecordDelay)), qt.IsFalse)
 	c.Check(r.isDue(2, now), qt.IsTrue)
 }
+
+// TestConfirmationOfAnotherGenerationIsNotBelieved guards against an entry that was paused and is
+// believed before it has heard that the store was restored.
+func TestConfirmationOfAnotherGenerationIsNotBelieved(t *testing.T) {
+	one, two := int64(1), int64(2)
+	tests := []struct {
+		name       string
+		generation *int64
+		want       bool
+	}{
+		{"an entry of the previous version", nil, true},
+		{"the same generation", &two, true},
+		{"an earlier generation", &one, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := Applied{Version: 7, IsConfirmed: true, Generation: tt.generation}.BelievedIn(two)
+			qt.Check(t, a.IsConfirmed, qt.Equals, tt.want)
+			qt.Check(t, a.Version, qt.Equals, int64(7))
+		})
+	}
+}
--- a/internal/transport/follower/restored.go
+++ b/internal/transport/follower/restored.go
@@ -24,11 +24,23 @@
 	// IsConfirmed is set if the store has confirmed the configuration recently enough to
 	// serve keys, and the entry did not start in the last seconds.
 	IsConfirmed bool `json:"confirmed"`
+	// Generation is that of the store in which it was confirmed; nil if it was not, or if the
+	// entry does not say.
+	Generation *int64 `json:"generation,omitempty"`
 	// IsWithheld is set if the entry is out of touch with the store, or was when the store was
 	// restored, so that a version may have been lost that the entry has never read.
 	IsWithheld bool `json:"withheld"`
 }
 
+// BelievedIn returns what an entry told, without its confirmation if that holds for another
+// generation of the store. An entry that was paused is asked before it has heard of a restore.
+func (a Applied) BelievedIn(generation int64) Applied {
+	if a.Generation != nil && *a.Generation != generation {
+		a.IsConfirmed = false
+	}
+	return a
+}
+
 // recordGeneration records that a list of the configuration comes from the start of this
 // process, or is the first since the store was restored. The store may then have lost a version
 // that removed keys, so that the other entries are asked for the newest one. An entry without any
--- a/internal/transport/gateway/allstart_test.go
+++ b/internal/transport/gateway/allstart_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"net/http"
 	"testing"
 	"time"
@@ -86,3 +87,20 @@
 		})
 	}
 }
+
+// TestEntryThatHasNotHeardOfARestoreIsNotBelieved guards against a removed key that is served by an
+// entry that starts, because another one still has a confirmation from before the store was restored.
+func TestEntryThatHasNotHeardOfARestoreIsNotBelieved(t *testing.T) {
+	env := newTestEnv(t)
+	env.addTarget(&standin.Target{ID: "t-0"}, "t-0", "bells")
+	env.configure(removedKey, order)
+	time.Sleep(balance.ExpiryPeriod + time.Second) // the entry has been in touch for some time
+	copied := env.store.Copy()
+	env.silentConns.Store(math.MaxInt64)
+	env.configure(testKey, order)
+	env.store.Restore(copied)
+	g := env.addEntry("entry-2", "127.0.0.2", env.storeAddress)
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		env.c.Assert(env.order(g, "a-1", removedKey), qt.Not(qt.Equals), http.StatusOK)
+	}
+}
--- a/internal/transport/gateway/appliedversion.go
+++ b/internal/transport/gateway/appliedversion.go
@@ -40,6 +40,7 @@
 			replies <- r
 		}()
 	}
+	generation, _ := g.store.Generation()
 	var all follower.Applied
 	hasAnswer := len(addresses) == 0
 	var errs []error
@@ -48,7 +49,7 @@
 		hasAnswer = hasAnswer || r.err == nil
 		errs = append(errs, r.err)
 		all.Version = max(all.Version, r.applied.Version)
-		all.IsConfirmed = all.IsConfirmed || r.applied.IsConfirmed
+		all.IsConfirmed = all.IsConfirmed || r.applied.BelievedIn(generation).IsConfirmed
 		all.IsWithheld = all.IsWithheld || r.applied.IsWithheld
 	}
 	if !hasAnswer {
