--- a/cmd/standin/soak_relay_test.go
+++ b/cmd/standin/soak_relay_test.go
@@ -52,5 +52,5 @@
 		body = bytes.ReplaceAll(body, []byte(`"`+entryNetwork), []byte(`"`+relayNetwork))
 		r.Body = io.NopCloser(bytes.NewReader(body))
 	}
-	s.store.ServeHTTP(w, r)
+	s.storeGate.ServeHTTP(w, r)
 }
--- a/cmd/standin/soak_test.go
+++ b/cmd/standin/soak_test.go
@@ -121,6 +121,8 @@
 	targetRelays []*relay
 	// refusals has targets refuse requests and write copies of refusals.
 	refusals refusals
+	// storeGate is in front of the store.
+	storeGate *standin.Gate
 	// storeAnswer answers the reads of the store instead of it, if it is not nil.
 	storeAnswer atomic.Pointer[http.HandlerFunc]
 
@@ -190,6 +192,7 @@
 		servers:       map[string]map[string]any{},
 		keys:          []string{soakKey, soakRemovedKey},
 	}
+	s.storeGate = standin.NewGate(s.store)
 	store := httptest.NewServer(http.HandlerFunc(s.serveStore))
 	t.Cleanup(func() {
 		store.CloseClientConnections()
--- a/internal/transport/gateway/turnedaway_test.go
+++ b/internal/transport/gateway/turnedaway_test.go
@@ -2,11 +2,7 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
-	"net/http/httptest"
-	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,77 +12,6 @@
 	"bluebellcrank/platform/standin"
 )
 
-// storeGate passes the calls of entries on to the store, or turns the entries away while the store
-// serves the others.
-type storeGate struct {
-	store  *standin.Store
-	server *httptest.Server
-	// refusal answers the calls while it is set.
-	refusal atomic.Pointer[http.HandlerFunc]
-}
-
-// newStoreGate starts a gate in front of the store.
-func (env *testEnv) newStoreGate() *storeGate {
-	g := &storeGate{store: env.store}
-	g.server = httptest.NewServer(g)
-	env.t.Cleanup(g.server.Close)
-	return g
-}
-
-func (g *storeGate) address() string { return strings.TrimPrefix(g.server.URL, "http://") }
-
-// ServeHTTP implements http.Handler.
-func (g *storeGate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if refuse := g.refusal.Load(); refuse != nil {
-		(*refuse)(w, r)
-		return
-	}
-	answer := httptest.NewRecorder()
-	g.store.ServeHTTP(answer, r)
-	if refuse := g.refusal.Load(); refuse != nil {
-		(*refuse)(w, r) // a watch that was waiting
-		return
-	}
-	for name, values := range answer.Header() {
-		w.Header()[name] = values
-	}
-	w.WriteHeader(answer.Code)
-	_, _ = w.Write(answer.Body.Bytes())
-}
-
-// turnAway has the gate answer in a manner, also the calls that wait.
-func (g *storeGate) turnAway(manner http.HandlerFunc) {
-	g.refusal.Store(&manner)
-	g.server.CloseClientConnections()
-}
-
-func (g *storeGate) open() { g.refusal.Store(nil) }
-
-// The manners in which a store turns an entry away.
-func resetting(w http.ResponseWriter, _ *http.Request) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return
-	}
-	_ = conn.(*net.TCPConn).SetLinger(0)
-	_ = conn.Close()
-}
-
-func unanswered(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
-
-func unavailable(w http.ResponseWriter, _ *http.Request) {
-	w.WriteHeader(http.StatusServiceUnavailable)
-}
-
-func tooMany(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) }
-
-// alternating resets, refuses and leaves calls unanswered in turn.
-func alternating() http.HandlerFunc {
-	var calls atomic.Int64
-	manners := []http.HandlerFunc{resetting, unavailable, unanswered, tooMany}
-	return func(w http.ResponseWriter, r *http.Request) { manners[calls.Add(1)%int64(len(manners))](w, r) }
-}
-
 // keyClients ask entries with a removed key, and know which of their requests ran too late.
 type keyClients struct {
 	env  *testEnv
@@ -139,14 +64,15 @@
 // run plays it, and checks that no request with the removed key runs too late.
 func (tt turnedAwayPlay) run(t *testing.T) {
 	env := newTestEnv(t)
-	gate := env.newStoreGate()
+	gate := standin.NewGate(env.store)
+	address := env.serve(gate)
 	start := func(n int) *Gateway {
-		return env.addEntry(fmt.Sprintf("entry-%d", n+1), fmt.Sprintf("127.0.0.%d", n+1), gate.address())
+		return env.addEntry(fmt.Sprintf("entry-%d", n+1), fmt.Sprintf("127.0.0.%d", n+1), address)
 	}
 	entries := tt.startAll(env, start)
 	time.Sleep(balance.ExpiryPeriod + time.Second) // all have been in touch for some time
 	copied := env.store.Copy()
-	gate.turnAway(tt.manner)
+	gate.TurnAway(tt.manner)
 	time.Sleep(100 * time.Millisecond)
 	env.configure(testKey, order)
 	acked := time.Now()
@@ -156,16 +82,16 @@
 		entries[n].Close()
 	}
 	env.store.Restore(copied)
-	gate.open()
+	gate.Open()
 	for n := range tt.restarts {
 		entries[n] = start(n)
 	}
 	back := time.Now()
 	if tt.turnedAgain {
 		clients.ask(acked, back.Add(300*time.Millisecond), entries...)
-		gate.turnAway(tt.manner)
+		gate.TurnAway(tt.manner)
 		clients.ask(acked, back.Add(800*time.Millisecond), entries...)
-		gate.open()
+		gate.Open()
 	}
 	for n := 1; n < tt.restores; n++ {
 		clients.ask(acked, back.Add(time.Second), entries...)
@@ -186,22 +112,23 @@
 // entries that the store turned away while it served the operator, and that lost the removal.
 func TestRemovedKeyAfterEntriesWereTurnedAway(t *testing.T) {
 	const second = time.Second
+	inTurn := standin.InTurn(standin.ResetCall, standin.FailCalls(http.StatusServiceUnavailable), standin.IgnoreCall, standin.FailCalls(http.StatusTooManyRequests))
 	tests := []turnedAwayPlay{
-		{name: "resets", manner: resetting, entries: 3, awayFor: 5 * second, rewriteIn: 2 * second},
-		{name: "resets, one entry", manner: resetting, entries: 1, awayFor: 5 * second, rewriteIn: 3500 * time.Millisecond},
-		{name: "resets, the operator is early", manner: resetting, entries: 3, awayFor: 5 * second, rewriteIn: second},
-		{name: "resets, the operator is late", manner: resetting, entries: 3, awayFor: 5 * second, rewriteIn: 3500 * time.Millisecond},
-		{name: "resets of 2 s", manner: resetting, entries: 3, awayFor: 2 * second, rewriteIn: 3500 * time.Millisecond},
-		{name: "resets of 3 s", manner: resetting, entries: 1, awayFor: 3 * second, rewriteIn: 3 * second},
-		{name: "resets of 8 s", manner: resetting, entries: 3, awayFor: 8 * second, rewriteIn: 3 * second},
-		{name: "resets that come in series", manner: resetting, entries: 3, awayFor: 5 * second, rewriteIn: 3 * second, turnedAgain: true},
-		{name: "silence of 2 s", manner: unanswered, entries: 3, awayFor: 2 * second, rewriteIn: 3500 * time.Millisecond},
-		{name: "503 for 2 s", manner: unavailable, entries: 3, awayFor: 2 * second, rewriteIn: 3500 * time.Millisecond},
-		{name: "429 for 5 s", manner: tooMany, entries: 3, awayFor: 5 * second, rewriteIn: 3 * second},
-		{name: "in all manners", manner: alternating(), entries: 3, awayFor: 4 * second, rewriteIn: 3500 * time.Millisecond},
-		{name: "two restores", manner: resetting, entries: 3, awayFor: 5 * second, rewriteIn: 3 * second, restores: 2},
-		{name: "one starts again", manner: resetting, entries: 3, awayFor: 5 * second, rewriteIn: 3 * second, restarts: 1},
-		{name: "all start again", manner: resetting, entries: 3, awayFor: 3 * second, rewriteIn: 3 * second, restarts: 3},
+		{name: "resets", manner: standin.ResetCall, entries: 3, awayFor: 5 * second, rewriteIn: 2 * second},
+		{name: "resets, one entry", manner: standin.ResetCall, entries: 1, awayFor: 5 * second, rewriteIn: 3500 * time.Millisecond},
+		{name: "resets, the operator is early", manner: standin.ResetCall, entries: 3, awayFor: 5 * second, rewriteIn: second},
+		{name: "resets, the operator is late", manner: standin.ResetCall, entries: 3, awayFor: 5 * second, rewriteIn: 3500 * time.Millisecond},
+		{name: "resets of 2 s", manner: standin.ResetCall, entries: 3, awayFor: 2 * second, rewriteIn: 3500 * time.Millisecond},
+		{name: "resets of 3 s", manner: standin.ResetCall, entries: 1, awayFor: 3 * second, rewriteIn: 3 * second},
+		{name: "resets of 8 s", manner: standin.ResetCall, entries: 3, awayFor: 8 * second, rewriteIn: 3 * second},
+		{name: "resets that come in series", manner: standin.ResetCall, entries: 3, awayFor: 5 * second, rewriteIn: 3 * second, turnedAgain: true},
+		{name: "silence of 2 s", manner: standin.IgnoreCall, entries: 3, awayFor: 2 * second, rewriteIn: 3500 * time.Millisecond},
+		{name: "503 for 2 s", manner: standin.FailCalls(http.StatusServiceUnavailable), entries: 3, awayFor: 2 * second, rewriteIn: 3500 * time.Millisecond},
+		{name: "429 for 5 s", manner: standin.FailCalls(http.StatusTooManyRequests), entries: 3, awayFor: 5 * second, rewriteIn: 3 * second},
+		{name: "in all manners", manner: inTurn, entries: 3, awayFor: 4 * second, rewriteIn: 3500 * time.Millisecond},
+		{name: "two restores", manner: standin.ResetCall, entries: 3, awayFor: 5 * second, rewriteIn: 3 * second, restores: 2},
+		{name: "one starts again", manner: standin.ResetCall, entries: 3, awayFor: 5 * second, rewriteIn: 3 * second, restarts: 1},
+		{name: "all start again", manner: standin.ResetCall, entries: 3, awayFor: 3 * second, rewriteIn: 3 * second, restarts: 3},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
