Soak of turned away entries: longer outages, and connections that end

Outages were too short for a removal to be served late, and resets were one of six manners. The last outage now lasts 2 to 8 s, and connections that end without a reset are a manner of their own.

--- a/cmd/standin/soak_turned_test.go
+++ b/cmd/standin/soak_turned_test.go
@@ -22,6 +22,8 @@
 	manner http.HandlerFunc
 }{
 	{"resets", standin.ResetCall},
+	{"ends of connections", standin.EndCall},
+	{"resets and ends of connections", standin.InTurn(standin.ResetCall, standin.EndCall)},
 	{"no answers", standin.IgnoreCall},
 	{"503", standin.FailCalls(http.StatusServiceUnavailable)},
 	{"429", standin.FailCalls(http.StatusTooManyRequests)},
@@ -59,14 +61,14 @@
 	name, open := s.turnAway()
 	time.Sleep(randomDuration(s.random, 0, 500*time.Millisecond))
 	s.removeKey()
-	for range s.random.IntN(3) {
+	for range max(0, s.random.IntN(4)-1) {
 		time.Sleep(randomDuration(s.random, 100*time.Millisecond, 2*time.Second))
 		open()
 		var again string
 		again, open = s.turnAway()
 		name += ", " + again
 	}
-	time.Sleep(randomDuration(s.random, 100*time.Millisecond, 6*time.Second))
+	time.Sleep(randomDuration(s.random, 2*time.Second, 8*time.Second))
 	killed := max(0, s.random.IntN(2*len(s.entries))-len(s.entries))
 	for _, e := range s.entries[:killed] {
 		e.signal(syscall.SIGKILL)
