Names of what ends a gap

Cause: the sources Entry, Record and Operator read like types. They are AnotherEntry, StoreRecord and OperatorWrite; the random plays name where a version was written. No change of behaviour; the tests of the package pass.

--- a/internal/coordination/confirmation/evidence.go
+++ b/internal/coordination/confirmation/evidence.go
@@ -5,12 +5,12 @@
 
 // The sources; Unknown stands for none.
 const (
-	Unknown    Source = ""
-	Entry      Source = "another entry"
-	Record     Source = "record in the store"
-	FirstStart Source = "first start"
-	Operator   Source = "operator's write"
-	Waited     Source = "none, the operator has had time to write"
+	Unknown       Source = ""
+	AnotherEntry  Source = "another entry"
+	StoreRecord   Source = "record in the store"
+	FirstStart    Source = "first start"
+	OperatorWrite Source = "operator's write"
+	Waited        Source = "none, the operator has had time to write"
 )
 
 // RecordState is what the records in the store tell of the generation that it is in. A record
--- a/internal/coordination/confirmation/play_test.go
+++ b/internal/coordination/confirmation/play_test.go
@@ -27,13 +27,14 @@
 
 // playedEntry is an entry of a play.
 type playedEntry struct {
-	tracker             *Tracker
-	applied             int64
-	appliedAt           [2]int64 // generation and revision of the applied version
-	generation, watched int64
-	turnedAwayUntil     time.Duration
-	pausedUntil         time.Duration
-	nextConfirmation    time.Duration
+	tracker *Tracker
+	applied int64
+	// writtenIn and writtenAt are the generation and the revision of the applied version.
+	writtenIn, writtenAt int64
+	generation, watched  int64
+	turnedAwayUntil      time.Duration
+	pausedUntil          time.Duration
+	nextConfirmation     time.Duration
 }
 
 // play is a store, its operator and some entries in virtual time. Each version removes one key.
@@ -119,7 +120,7 @@
 	}
 	isList := e.generation != p.generation
 	if isList {
-		isRewritten := e.applied == p.store.version && p.generation == e.appliedAt[0]+1 && p.store.written != e.appliedAt[1]
+		isRewritten := e.applied == p.store.version && p.generation == e.writtenIn+1 && p.store.written != e.writtenAt
 		e.tracker.RecordList(p.generation, isRewritten, p.now)
 		e.generation, e.nextConfirmation = p.generation, 0
 	}
@@ -128,7 +129,7 @@
 	if isList || isWrite {
 		e.tracker.RecordStored(p.store.version)
 		if p.store.version >= e.applied {
-			e.applied, e.appliedAt = p.store.version, [2]int64{p.generation, p.store.written}
+			e.applied, e.writtenIn, e.writtenAt = p.store.version, p.generation, p.store.written
 			e.tracker.RecordApplied(e.applied)
 		}
 	}
--- a/internal/coordination/confirmation/tracker.go
+++ b/internal/coordination/confirmation/tracker.go
@@ -213,7 +213,7 @@
 	} else {
 		t.gap.isOpen = false
 	}
-	if s == Record || s == Operator || s == FirstStart && t.start == instance.FirstStart {
+	if s == StoreRecord || s == OperatorWrite || s == FirstStart && t.start == instance.FirstStart {
 		t.vouchesFrom = min(now, t.vouchesFrom)
 	}
 	return Outcome{Source: s, Generation: t.generation, Version: t.stored, Open: now - t.gap.openedAt}
@@ -223,11 +223,11 @@
 func (t *Tracker) source(e Evidence) Source {
 	switch {
 	case e.Record == RecordedNow:
-		return Record
+		return StoreRecord
 	case e.Others.IsConfirmed:
-		return Entry
+		return AnotherEntry
 	case t.gap.isWritten:
-		return Operator
+		return OperatorWrite
 	case t.gap.isRestored || e.Err != nil:
 		return Unknown
 	case e.Record == NotRecorded && t.start != instance.LaterStart && !e.Others.IsWithheld:
