Test of turned away entries: ports that nothing else takes

The entries of each play now have addresses of their own, and the first entry stays, out of touch with the store all the while.

--- a/internal/transport/gateway/turnedaway_test.go
+++ b/internal/transport/gateway/turnedaway_test.go
@@ -49,12 +49,12 @@
 	turnedAgain bool
 }
 
-// startAll starts the entries of a play in place of the first one, with a key that is removed later.
+// startAll starts the entries of a play, with a key that is removed later. The first entry of the
+// environment keeps the port of the entries, and is out of touch with the store all the while.
 func (tt turnedAwayPlay) startAll(env *testEnv, start func(n int) *Gateway) []*Gateway {
 	env.addTarget(&standin.Target{ID: "t-0"}, "t-0", "bells")
 	env.configure(removedKey, order)
-	env.gateway.Close()
-	env.store.Delete("bluebellcrank-entries", "entry-1")
+	env.storeBlocked.Store(true)
 	var entries []*Gateway
 	for n := range tt.entries {
 		entries = append(entries, start(n))
@@ -62,13 +62,14 @@
 	return entries
 }
 
-// run plays it, and checks that no request with the removed key runs too late.
-func (tt turnedAwayPlay) run(t *testing.T) {
+// run plays it, and checks that no request with the removed key runs too late. Plays with different
+// numbers run at the same time, on addresses of their own.
+func (tt turnedAwayPlay) run(t *testing.T, number int) {
 	env := newTestEnv(t)
 	gate := standin.NewGate(env.store)
 	address := env.serve(gate)
 	start := func(n int) *Gateway {
-		return env.addEntry(fmt.Sprintf("entry-%d", n+1), fmt.Sprintf("127.0.0.%d", n+1), address)
+		return env.addEntry(fmt.Sprintf("entry-%d", n+2), fmt.Sprintf("127.2.%d.%d", number, n+2), address)
 	}
 	entries := tt.startAll(env, start)
 	time.Sleep(balance.ExpiryPeriod + time.Second) // all have been in touch for some time
@@ -131,10 +132,10 @@
 		{name: "one starts again", manner: standin.ResetCall, entries: 3, awayFor: 5 * second, rewriteIn: 3 * second, restarts: 1},
 		{name: "all start again", manner: standin.ResetCall, entries: 3, awayFor: 3 * second, rewriteIn: 3 * second, restarts: 3},
 	}
-	for _, tt := range tests {
+	for number, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			tt.run(t)
+			tt.run(t, number)
 		})
 	}
 }
